--- /dev/null
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/ActiveJob.java
@@ -0,0 +1,193 @@
+package io.dragonflyturn.internal.dispatch;
+
+import io.dragonflyturn.internal.workload.JobSubmission;
+import io.dragonflyturn.internal.workload.RunRecord;
+import io.dragonflyturn.internal.workload.StepSpecification;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/** A job whose work the leader places: its units, in the order of occurrences and steps. */
+final class ActiveJob {
+  private final JobEntry entry;
+  private final long receivedMillis;
+  private final Map<Integer, List<List<WorkUnit>>> occurrences = new LinkedHashMap<>();
+  private int unfinished;
+  private int nextOccurrence;
+  private boolean ending;
+
+  ActiveJob(JobEntry entry, long receivedMillis) {
+    this.entry = entry;
+    this.receivedMillis = receivedMillis;
+    this.unfinished = submission().recurrence().occurrences();
+  }
+
+  JobEntry entry() {
+    return entry;
+  }
+
+  JobSubmission submission() {
+    return entry.submission();
+  }
+
+  String id() {
+    return submission().id();
+  }
+
+  int priority() {
+    return submission().queue().priority();
+  }
+
+  /** Returns when this leader first saw the job, in milliseconds of the steady clock. */
+  long receivedMillis() {
+    return receivedMillis;
+  }
+
+  /** Says whether nothing of the job is to be started any more. */
+  boolean isEnding() {
+    return ending;
+  }
+
+  void end() {
+    ending = true;
+  }
+
+  /** Opens the occurrences that are due, and returns whether there is a new one. */
+  boolean openDue(long timeOfDayMillis) {
+    boolean opened = false;
+    while (nextOccurrence < submission().recurrence().occurrences()
+        && submission().recurrence().dueMillis(nextOccurrence) <= timeOfDayMillis) {
+      open(nextOccurrence);
+      nextOccurrence++;
+      opened = true;
+    }
+    return opened;
+  }
+
+  private List<List<WorkUnit>> open(int occurrence) {
+    return occurrences.computeIfAbsent(occurrence, this::unitsOf);
+  }
+
+  private List<List<WorkUnit>> unitsOf(int occurrence) {
+    List<List<WorkUnit>> steps = new ArrayList<>();
+    for (int step = 0; step < submission().steps().size(); step++) {
+      steps.add(unitsOf(occurrence, step));
+    }
+    return steps;
+  }
+
+  private List<WorkUnit> unitsOf(int occurrence, int step) {
+    StepSpecification specification = submission().steps().get(step);
+    if (specification.gang()) {
+      return List.of(WorkUnit.gang(this, occurrence, step));
+    }
+    List<WorkUnit> units = new ArrayList<>();
+    for (int index = 0; index < specification.replicas(); index++) {
+      units.add(WorkUnit.task(this, occurrence, step, index));
+    }
+    return units;
+  }
+
+  /** Returns all units of the occurrences that have been opened. */
+  List<WorkUnit> units() {
+    List<WorkUnit> units = new ArrayList<>();
+    occurrences.values().forEach(steps -> steps.forEach(units::addAll));
+    return units;
+  }
+
+  /** Returns the units that may be placed now. */
+  List<WorkUnit> readyUnits() {
+    List<WorkUnit> ready = new ArrayList<>();
+    if (ending) {
+      return ready;
+    }
+    for (List<List<WorkUnit>> steps : occurrences.values()) {
+      for (int step = 0; step < steps.size(); step++) {
+        if (dependenciesAreDone(steps, step)) {
+          addIdle(steps.get(step), ready);
+        }
+      }
+    }
+    return ready;
+  }
+
+  private static void addIdle(List<WorkUnit> units, List<WorkUnit> ready) {
+    for (WorkUnit unit : units) {
+      if (!unit.isDone() && unit.run() == null) {
+        ready.add(unit);
+      }
+    }
+  }
+
+  private boolean dependenciesAreDone(List<List<WorkUnit>> steps, int step) {
+    for (int dependency : submission().steps().get(step).dependencies()) {
+      if (!isDone(steps.get(dependency))) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private static boolean isDone(List<WorkUnit> units) {
+    return units.stream().allMatch(WorkUnit::isDone);
+  }
+
+  /** Drops an occurrence that is complete, and returns whether the whole job now is. */
+  boolean closeIfDone(int occurrence) {
+    List<List<WorkUnit>> steps = occurrences.get(occurrence);
+    if (steps != null && steps.stream().allMatch(ActiveJob::isDone)) {
+      occurrences.remove(occurrence);
+      unfinished--;
+    }
+    return unfinished == 0;
+  }
+
+  /** Says whether no run of the job may exist. */
+  boolean isQuiet() {
+    return units().stream().allMatch(unit -> unit.run() == null);
+  }
+
+  /** Returns the number of runs of a step on a worker. */
+  int runsOn(String worker, int occurrence, int step) {
+    List<List<WorkUnit>> steps = occurrences.get(occurrence);
+    if (steps == null) {
+      return 0;
+    }
+    int runs = 0;
+    for (WorkUnit unit : steps.get(step)) {
+      ActiveRun run = unit.run();
+      if (run == null) {
+        continue;
+      }
+      for (Member member : run.members()) {
+        runs += !member.isResolved() && member.session().id().equals(worker) ? 1 : 0;
+      }
+    }
+    return runs;
+  }
+
+  /**
+   * Takes a stored run.
+   *
+   * @return the unit that the record is about; null where the job has no such unit
+   */
+  @Nullable WorkUnit restore(int occurrence, int step, int index, RunRecord stored) {
+    boolean exists =
+        occurrence < submission().recurrence().occurrences()
+            && step < submission().steps().size()
+            && index < submission().steps().get(step).replicas();
+    if (!exists) {
+      return null;
+    }
+    nextOccurrence = Math.max(nextOccurrence, occurrence + 1);
+    for (int earlier = 0; earlier <= occurrence; earlier++) {
+      open(earlier);
+    }
+    List<WorkUnit> units = open(occurrence).get(step);
+    WorkUnit unit = units.get(Math.max(0, index));
+    unit.restore(stored);
+    return unit;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/Dispatcher.java
@@ -0,0 +1,140 @@
+package io.dragonflyturn.internal.dispatch;
+
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Takes part in the election of the leader, and leads while this instance is elected. Used on the
+ * event loop only.
+ */
+public final class Dispatcher implements JobDirectory.Observer, LeaderElection.Listener {
+  private static final long TICK_MILLIS = 100;
+
+  /** How long a leader that does not reach the store goes on to renew leases. */
+  private static final Duration LONGEST_STORE_SILENCE = Duration.ofSeconds(8);
+
+  private final DispatchContext context;
+  private final LeaderElection election;
+  private final StoreContact contact;
+  private @Nullable LeaderTerm term;
+  private boolean stopped;
+
+  /** Creates a dispatcher that takes no part until it is started. */
+  public Dispatcher(DispatchContext context, StoreContact contact) {
+    this.context = context;
+    this.contact = contact;
+    this.election =
+        new LeaderElection(
+            context.store(),
+            context.instance(),
+            context.steady(),
+            context.loop(),
+            context.events(),
+            this);
+    context.directory().observe(this);
+  }
+
+  /** Starts to take part. */
+  public void start() {
+    tick();
+  }
+
+  /** Says whether this instance leads and has taken over all that is stored. */
+  public boolean isLeading() {
+    LeaderTerm current = term;
+    return current != null && current.isReady();
+  }
+
+  /** Says whether this instance is elected, also while it still takes over. */
+  public boolean isElected() {
+    return term != null;
+  }
+
+  /** Takes no further part, and tells the others where this instance leads; then calls back. */
+  public void leave(Runnable whenLeft) {
+    stopped = true;
+    election.leave();
+    LeaderTerm current = term;
+    if (current == null) {
+      whenLeft.run();
+      return;
+    }
+    current.release(
+        () -> {
+          election.depose("released");
+          whenLeft.run();
+        });
+  }
+
+  private void tick() {
+    LeaderTerm current = term;
+    if (current != null) {
+      current.tick();
+    }
+    if (contact.silence().compareTo(LONGEST_STORE_SILENCE) > 0) {
+      election.depose("store-silent");
+    }
+    if (!stopped) {
+      election.tick(contact.isListed() && contact.silence().isZero());
+    }
+    context.loop().schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public void elected(long number, long nextSequence) {
+    LeaderTerm next =
+        new LeaderTerm(context, number, nextSequence, () -> election.depose("order-fenced"));
+    term = next;
+    next.start();
+  }
+
+  @Override
+  public void deposed() {
+    LeaderTerm current = term;
+    term = null;
+    if (current != null) {
+      current.close();
+    }
+  }
+
+  @Override
+  public void submitted(JobEntry entry) {
+    LeaderTerm current = term;
+    if (current != null) {
+      current.submitted(entry);
+    }
+  }
+
+  @Override
+  public void cancelled(JobEntry entry) {
+    LeaderTerm current = term;
+    if (current != null) {
+      current.cancelled(entry);
+    }
+  }
+
+  @Override
+  public void leadershipSeen(LeadershipRecord record) {
+    election.seen(record);
+  }
+
+  @Override
+  public void leaderWrote() {
+    election.sign();
+  }
+
+  @Override
+  public void reached(long nextOffset) {
+    election.reached(nextOffset);
+  }
+
+  /** How current this instance's view of the jobs topic is. */
+  public interface StoreContact {
+    /** Says whether the newest records have been read. */
+    boolean isListed();
+
+    /** Returns how long the store has not answered; zero while it does. */
+    Duration silence();
+  }
+}
--- /dev/null
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/JobDirectory.java
@@ -0,0 +1,186 @@
+package io.dragonflyturn.internal.dispatch;
+
+import io.dragonflyturn.internal.ledger.KeyedRecord;
+import io.dragonflyturn.internal.ledger.TopicListener;
+import io.dragonflyturn.internal.logging.EventLog;
+import io.dragonflyturn.internal.workload.JobPhase;
+import io.dragonflyturn.internal.workload.WorkloadCodec;
+import java.io.UncheckedIOException;
+import java.time.InstantSource;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * All jobs and who leads, folded from the jobs topic. Used on the event loop only.
+ *
+ * <p>A repeated submission of the same identifier joins the first. An end is final.
+ */
+public final class JobDirectory implements TopicListener {
+  private final InstantSource steady;
+  private final EventLog events;
+  private final Map<String, JobEntry> jobs = new LinkedHashMap<>();
+  private LeadershipRecord leadership = LeadershipRecord.NONE;
+  private @Nullable Observer observer;
+
+  /** Creates an empty directory. */
+  public JobDirectory(InstantSource steady, EventLog events) {
+    this.steady = steady;
+    this.events = events;
+  }
+
+  /** Sets who is told of changes. */
+  public void observe(Observer next) {
+    observer = next;
+  }
+
+  /** Returns a job; null where there is none. */
+  public @Nullable JobEntry job(String id) {
+    return jobs.get(id);
+  }
+
+  /** Returns all jobs in the order in which they were accepted. */
+  public Collection<JobEntry> jobs() {
+    return jobs.values();
+  }
+
+  /** Returns who leads. */
+  public LeadershipRecord leadership() {
+    return leadership;
+  }
+
+  /** Returns how many jobs of a queue that start at once have not begun. */
+  public int waitingJobs(String queue) {
+    int waiting = 0;
+    for (JobEntry entry : jobs.values()) {
+      boolean counts =
+          entry.phase() == JobPhase.QUEUED
+              && entry.submission().queue().name().equals(queue)
+              && !entry.submission().recurrence().isTimed();
+      waiting += counts ? 1 : 0;
+    }
+    return waiting;
+  }
+
+  @Override
+  public void reset(Map<String, byte[]> newest) {
+    jobs.keySet().removeIf(id -> !newest.containsKey(LedgerKeys.submission(id)));
+    Map<String, byte[]> later = new HashMap<>();
+    newest.forEach(
+        (key, value) -> {
+          if (key.charAt(0) == LedgerKeys.SUBMISSION) {
+            apply(new KeyedRecord(key, value));
+          } else {
+            later.put(key, value);
+          }
+        });
+    later.forEach((key, value) -> apply(new KeyedRecord(key, value)));
+  }
+
+  @Override
+  public void apply(KeyedRecord change) {
+    try {
+      fold(change);
+    } catch (UncheckedIOException | IndexOutOfBoundsException unreadable) {
+      events
+          .event("record-unreadable")
+          .with("key", change.key())
+          .with("cause", unreadable)
+          .write();
+    }
+  }
+
+  @Override
+  public void reached(long nextOffset) {
+    if (observer != null) {
+      observer.reached(nextOffset);
+    }
+  }
+
+  private void fold(KeyedRecord change) {
+    byte @Nullable [] value = change.value();
+    if (change.key().equals(LedgerKeys.LEADER)) {
+      foldLeadership(value);
+      return;
+    }
+    String id = change.key().substring(1);
+    if (value == null) {
+      if (change.key().charAt(0) == LedgerKeys.SUBMISSION) {
+        jobs.remove(id);
+      }
+      return;
+    }
+    switch (change.key().charAt(0)) {
+      case LedgerKeys.SUBMISSION -> foldSubmission(id, value);
+      case LedgerKeys.CANCELLATION -> foldCancellation(id);
+      case LedgerKeys.PHASE -> foldPhase(id, value);
+      default -> events.event("record-unknown").with("key", change.key()).write();
+    }
+  }
+
+  private void foldLeadership(byte @Nullable [] value) {
+    if (value == null) {
+      return;
+    }
+    LeadershipRecord next = LeadershipRecord.decode(value);
+    if (next.term() < leadership.term()) {
+      return;
+    }
+    leadership = next;
+    if (observer != null) {
+      observer.leadershipSeen(next);
+    }
+  }
+
+  private void foldSubmission(String id, byte[] value) {
+    if (jobs.containsKey(id)) {
+      return;
+    }
+    JobEntry entry = new JobEntry(WorkloadCodec.decodeSubmission(value));
+    jobs.put(id, entry);
+    if (observer != null) {
+      observer.submitted(entry);
+    }
+  }
+
+  private void foldCancellation(String id) {
+    JobEntry entry = jobs.get(id);
+    if (entry == null || entry.isCancelled() || entry.recordedPhase().isEnd()) {
+      return;
+    }
+    entry.cancel();
+    if (observer != null) {
+      observer.cancelled(entry);
+    }
+  }
+
+  private void foldPhase(String id, byte[] value) {
+    if (observer != null) {
+      observer.leaderWrote();
+    }
+    JobEntry entry = jobs.get(id);
+    if (entry != null) {
+      entry.enter(WorkloadCodec.decodePhase(value), steady.millis());
+    }
+  }
+
+  /** Is told of changes, on the event loop. */
+  public interface Observer {
+    /** A job was accepted. */
+    void submitted(JobEntry entry);
+
+    /** A job was cancelled before its end. */
+    void cancelled(JobEntry entry);
+
+    /** A leadership record was read. */
+    void leadershipSeen(LeadershipRecord record);
+
+    /** A record was read that only the leader writes. */
+    void leaderWrote();
+
+    /** All records up to an offset have been applied. */
+    void reached(long nextOffset);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LeaderElection.java
@@ -0,0 +1,204 @@
+package io.dragonflyturn.internal.dispatch;
+
+import io.dragonflyturn.internal.ledger.AppendOutcome;
+import io.dragonflyturn.internal.ledger.AppendOutcome.EndMoved;
+import io.dragonflyturn.internal.ledger.AppendOutcome.Fenced;
+import io.dragonflyturn.internal.ledger.AppendOutcome.OutOfSequence;
+import io.dragonflyturn.internal.ledger.AppendOutcome.Rejected;
+import io.dragonflyturn.internal.ledger.AppendOutcome.Stored;
+import io.dragonflyturn.internal.ledger.AppendOutcome.Unknown;
+import io.dragonflyturn.internal.ledger.KeyedRecord;
+import io.dragonflyturn.internal.ledger.RecordStore;
+import io.dragonflyturn.internal.ledger.WriterPosition;
+import io.dragonflyturn.internal.logging.EventLog;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Takes the lead where the leader has been silent in the jobs topic.
+ *
+ * <p>A candidate appends the next term only where the topic ends at what it has read, so exactly one
+ * candidate wins a term. The term is the epoch of the leader's appends and the fencing token of its
+ * orders. Each candidate starts at a random sequence, so that the store never takes one candidate's
+ * append for a repeat of another's.
+ */
+public final class LeaderElection {
+  /** The writer's name that all leaders share, so that a later epoch fences an earlier one. */
+  static final String WRITER = "leader";
+
+  private static final long SILENCE_MILLIS = 1_500;
+  private static final long SPREAD_MILLIS = 400;
+  private static final long RETRY_MILLIS = 60;
+
+  private final RecordStore store;
+  private final String instance;
+  private final InstantSource steady;
+  private final ScheduledExecutorService loop;
+  private final EventLog events;
+  private final Listener listener;
+  private final long spreadMillis;
+  private LeadershipRecord seen = LeadershipRecord.NONE;
+  private long signMillis;
+  private long offset;
+  private boolean open = true;
+  private boolean trying;
+  private long leadingTerm;
+
+  /** Creates an election that an instance takes part in. */
+  public LeaderElection(
+      RecordStore store,
+      String instance,
+      InstantSource steady,
+      ScheduledExecutorService loop,
+      EventLog events,
+      Listener listener) {
+    this.store = store;
+    this.instance = instance;
+    this.steady = steady;
+    this.loop = loop;
+    this.events = events;
+    this.listener = listener;
+    this.spreadMillis = Math.floorMod(instance.hashCode(), SPREAD_MILLIS);
+    this.signMillis = steady.millis();
+  }
+
+  /** Takes a leadership record that was read. */
+  public void seen(LeadershipRecord record) {
+    seen = record;
+    signMillis = steady.millis();
+    if (leadingTerm != 0 && record.term() > leadingTerm) {
+      depose("higher-term-read");
+    }
+  }
+
+  /** Takes another sign that the leader works. */
+  public void sign() {
+    signMillis = steady.millis();
+  }
+
+  /** Takes the offset up to which the jobs topic has been read. */
+  public void reached(long nextOffset) {
+    offset = nextOffset;
+  }
+
+  /** Returns the term that this instance leads; 0 where it does not. */
+  public long leadingTerm() {
+    return leadingTerm;
+  }
+
+  /** Takes no further part. */
+  public void leave() {
+    open = false;
+  }
+
+  /** Gives up the lead, if this instance has it, because of something that it learned. */
+  public void depose(String cause) {
+    if (leadingTerm == 0) {
+      return;
+    }
+    events
+        .event("leadership-lost")
+        .with("term", leadingTerm)
+        .with("cause", cause)
+        .with("seenTerm", seen.term())
+        .write();
+    leadingTerm = 0;
+    signMillis = steady.millis();
+    listener.deposed();
+  }
+
+  /** Starts a try where the leader is due to be replaced. Called regularly. */
+  public void tick(boolean storeReachable) {
+    if (!storeReachable) {
+      signMillis = Math.max(signMillis, steady.millis() - SILENCE_MILLIS / 2);
+      return;
+    }
+    if (!open || trying || leadingTerm != 0) {
+      return;
+    }
+    long silence = steady.millis() - signMillis;
+    long due = seen.released() ? spreadMillis / 2 : SILENCE_MILLIS + spreadMillis;
+    if (silence >= due) {
+      propose(silence);
+    }
+  }
+
+  private void propose(long silence) {
+    trying = true;
+    long term = seen.term() + 1;
+    long sequence = ThreadLocalRandom.current().nextInt(1, Integer.MAX_VALUE / 2);
+    events
+        .event("leadership-proposed")
+        .with("term", term)
+        .with("silenceMillis", silence)
+        .with("offset", offset)
+        .write();
+    append(new Proposal(term, sequence, offset));
+  }
+
+  private void append(Proposal proposal) {
+    LeadershipRecord record = new LeadershipRecord(proposal.term, instance, false);
+    store
+        .append(
+            LedgerKeys.JOBS_TOPIC,
+            new WriterPosition(WRITER, proposal.term, proposal.sequence),
+            OptionalLong.of(proposal.expectedEnd),
+            List.of(new KeyedRecord(LedgerKeys.LEADER, record.encode())))
+        .whenCompleteAsync(
+            (outcome, failure) -> answered(proposal, outcome == null ? new Unknown() : outcome),
+            loop);
+  }
+
+  private void answered(Proposal proposal, AppendOutcome outcome) {
+    switch (outcome) {
+      case Stored stored -> won(proposal, stored);
+      case Unknown unknown -> retry(proposal);
+      case EndMoved moved -> trying = false;
+      case OutOfSequence other -> trying = false;
+      case Rejected rejected -> trying = false;
+      case Fenced fenced -> lost();
+    }
+  }
+
+  private void retry(Proposal proposal) {
+    if (seen.term() >= proposal.term && !seen.instance().equals(instance)) {
+      trying = false;
+      return;
+    }
+    loop.schedule(() -> append(proposal), RETRY_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private void lost() {
+    trying = false;
+    signMillis = steady.millis();
+  }
+
+  private void won(Proposal proposal, Stored stored) {
+    trying = false;
+    if (seen.term() > proposal.term || !open) {
+      return;
+    }
+    leadingTerm = proposal.term;
+    events
+        .event("leadership-won")
+        .with("term", proposal.term)
+        .with("offset", stored.offset())
+        .write();
+    listener.elected(proposal.term, proposal.sequence + 1);
+  }
+
+  private record Proposal(long term, long sequence, long expectedEnd) {}
+
+  /** Is told when this instance takes or loses the lead, on the event loop. */
+  public interface Listener {
+    /** This instance leads; its next append to the jobs topic has the given sequence. */
+    void elected(long term, long nextSequence);
+
+    /** This instance no longer leads. */
+    void deposed();
+  }
+}
--- /dev/null
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LedgerKeys.java
@@ -0,0 +1,34 @@
+package io.dragonflyturn.internal.dispatch;
+
+/** The topics and keys under which jobs, runs, and the leadership are stored. */
+public final class LedgerKeys {
+  /** Jobs, cancellations, phases, and the leadership; every instance follows it. */
+  public static final String JOBS_TOPIC = "keyed.jobs";
+
+  /** Runs; only the leader reads and writes it. */
+  public static final String RUNS_TOPIC = "keyed.runs";
+
+  /** The key of the {@link LeadershipRecord}. */
+  public static final String LEADER = "leader";
+
+  static final char SUBMISSION = 's';
+  static final char CANCELLATION = 'c';
+  static final char PHASE = 'p';
+
+  private LedgerKeys() {}
+
+  /** Returns the key of a job's submission. */
+  public static String submission(String job) {
+    return SUBMISSION + job;
+  }
+
+  /** Returns the key of a job's cancellation. */
+  public static String cancellation(String job) {
+    return CANCELLATION + job;
+  }
+
+  /** Returns the key of a job's phase. */
+  public static String phase(String job) {
+    return PHASE + job;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/Member.java
@@ -0,0 +1,128 @@
+package io.dragonflyturn.internal.dispatch;
+
+/** One task of a run on its worker. Times are milliseconds of the steady clock; 0 for not yet. */
+final class Member {
+  private final ActiveRun run;
+  private final WorkerSession session;
+  private final String task;
+  private State state;
+  private int startTries;
+  private boolean stopWanted;
+  private long confirmedMillis;
+  private long stopTakenMillis;
+  private int percent = -1;
+  private long progressMillis;
+
+  Member(ActiveRun run, WorkerSession session, String task, State state) {
+    this.run = run;
+    this.session = session;
+    this.task = task;
+    this.state = state;
+  }
+
+  /** How much is known of a member. */
+  enum State {
+    /** The start has not been sent. */
+    PLACED,
+    /** The start was sent and not answered. */
+    SENT,
+    /** An earlier leader placed it; it is not known whether it runs. */
+    UNCERTAIN,
+    /** The worker has taken the start, or lists the run. */
+    CONFIRMED,
+    /** The run is known to have ended, or never to start. */
+    RESOLVED
+  }
+
+  ActiveRun run() {
+    return run;
+  }
+
+  WorkUnit unit() {
+    return run.unit();
+  }
+
+  WorkerSession session() {
+    return session;
+  }
+
+  String task() {
+    return task;
+  }
+
+  State state() {
+    return state;
+  }
+
+  boolean isResolved() {
+    return state == State.RESOLVED;
+  }
+
+  void resolve() {
+    state = State.RESOLVED;
+  }
+
+  void sent() {
+    state = State.SENT;
+    startTries++;
+  }
+
+  int startTries() {
+    return startTries;
+  }
+
+  void confirm(long nowMillis) {
+    if (state == State.RESOLVED || state == State.CONFIRMED) {
+      return;
+    }
+    state = State.CONFIRMED;
+    confirmedMillis = nowMillis;
+    progressMillis = nowMillis;
+  }
+
+  boolean isStopWanted() {
+    return stopWanted;
+  }
+
+  void wantStop() {
+    stopWanted = true;
+  }
+
+  void stopTaken(long nowMillis) {
+    if (stopTakenMillis == 0) {
+      stopTakenMillis = nowMillis;
+    }
+  }
+
+  /** Takes progress that the worker lists. */
+  void progress(int newPercent, long nowMillis) {
+    if (newPercent != percent) {
+      percent = newPercent;
+      progressMillis = nowMillis;
+    }
+  }
+
+  int percent() {
+    return percent;
+  }
+
+  /** Returns how long the worker has listed no progress, in milliseconds. */
+  long stalledMillis(long nowMillis) {
+    return state == State.CONFIRMED ? nowMillis - progressMillis : 0;
+  }
+
+  /**
+   * Says whether a list that was asked for at a time must hold the run if it exists: not while a
+   * start may still arrive.
+   *
+   * @param stopMillis how long a stop takes at most
+   */
+  boolean mustBeListed(long askedMillis, long stopMillis) {
+    return switch (state) {
+      case PLACED, RESOLVED -> false;
+      case SENT -> stopTakenMillis != 0 && askedMillis > stopTakenMillis + stopMillis;
+      case UNCERTAIN -> true;
+      case CONFIRMED -> askedMillis > confirmedMillis;
+    };
+  }
+}
--- /dev/null
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/PlacementPlan.java
@@ -0,0 +1,32 @@
+package io.dragonflyturn.internal.dispatch;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What the planner decided in one round.
+ *
+ * @param placed the units to start, in order
+ * @param stopped the keys of the units to stop, so that more urgent ones can start
+ * @param waiting why each other unit waits
+ */
+record PlacementPlan(List<Placed> placed, Set<String> stopped, Map<String, WaitCause> waiting) {
+  /**
+   * A unit with a worker for each of its tasks.
+   *
+   * @param unit the unit's key
+   * @param workers the worker of each task, in the order of the tasks
+   */
+  record Placed(String unit, List<String> workers) {}
+
+  /** Why a unit waits. */
+  enum WaitCause {
+    /** No worker of the service may run it. */
+    NO_ELIGIBLE_WORKER,
+    /** The eligible workers have too little room. */
+    NO_ROOM,
+    /** Runs of less urgent jobs are being stopped for it. */
+    STOPPING_OTHERS
+  }
+}
--- /dev/null
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/PlacementPlanner.java
@@ -0,0 +1,249 @@
+package io.dragonflyturn.internal.dispatch;
+
+import io.dragonflyturn.internal.dispatch.PlacementPlan.Placed;
+import io.dragonflyturn.internal.dispatch.PlacementPlan.WaitCause;
+import io.dragonflyturn.internal.dispatch.WorkerSpace.Occupant;
+import io.dragonflyturn.internal.workload.StepSpecification;
+import io.dragonflyturn.internal.workload.TaskDemand;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Decides where waiting units run. Pure: the same fleet and requests give the same plan.
+ *
+ * <p>Requests are served in their order. A unit whose tasks do not all fit may displace runs of less
+ * urgent jobs; the room that they leave stays kept for it. A unit keeps to one rack where its step
+ * asks for that or its data lies there, until it has waited as long as its tasks should run.
+ */
+final class PlacementPlanner {
+  /** The longest that a unit waits for its preferred rack, in milliseconds. */
+  private static final long LONGEST_RACK_WAIT_MILLIS = 4_000;
+
+  private final Map<String, Space> spaces = new LinkedHashMap<>();
+  private final List<Placed> placed = new ArrayList<>();
+  private final Set<String> stopped = new LinkedHashSet<>();
+  private final Map<String, WaitCause> waiting = new LinkedHashMap<>();
+
+  private PlacementPlanner(Collection<WorkerSpace> workers) {
+    workers.forEach(worker -> spaces.put(worker.id(), new Space(worker)));
+  }
+
+  /** Plans one round. */
+  static PlacementPlan plan(Collection<WorkerSpace> workers, List<PlacementRequest> requests) {
+    PlacementPlanner planner = new PlacementPlanner(workers);
+    requests.forEach(planner::plan);
+    return new PlacementPlan(planner.placed, planner.stopped, planner.waiting);
+  }
+
+  private void plan(PlacementRequest request) {
+    List<Space> eligible = eligible(request);
+    if (eligible.isEmpty()) {
+      waiting.put(request.unit(), WaitCause.NO_ELIGIBLE_WORKER);
+      return;
+    }
+    List<Space> chosen = choose(request, eligible, Space::free);
+    if (chosen != null) {
+      chosen.forEach(space -> space.take(request.step().demand()));
+      placed.add(new Placed(request.unit(), chosen.stream().map(Space::id).toList()));
+      return;
+    }
+    waiting.put(request.unit(), displace(request, eligible));
+  }
+
+  private List<Space> eligible(PlacementRequest request) {
+    List<Space> eligible = new ArrayList<>();
+    List<Space> doubtful = new ArrayList<>();
+    for (Space space : spaces.values()) {
+      if (!space.serves(request)) {
+        continue;
+      }
+      boolean sound = space.worker.trusted() && !request.avoided().contains(space.id());
+      (sound ? eligible : doubtful).add(space);
+    }
+    return eligible.isEmpty() ? doubtful : eligible;
+  }
+
+  /** Keeps room for a unit by stopping runs of less urgent jobs, or by waiting for such stops. */
+  private WaitCause displace(PlacementRequest request, List<Space> eligible) {
+    List<Space> vacated = choose(request, eligible, Space::freeWhenLeft);
+    if (vacated != null) {
+      vacated.forEach(space -> space.take(request.step().demand()));
+      return WaitCause.STOPPING_OTHERS;
+    }
+    List<Space> reclaimed =
+        choose(request, eligible, space -> space.freeAfterDisplacing(request.priority()));
+    if (reclaimed == null) {
+      return WaitCause.NO_ROOM;
+    }
+    reclaimed.forEach(space -> space.take(request.step().demand()));
+    reclaimed.forEach(space -> stopFor(space, request.priority()));
+    return WaitCause.STOPPING_OTHERS;
+  }
+
+  private void stopFor(Space space, int priority) {
+    List<Occupant> victims = new ArrayList<>(space.worker.occupants());
+    victims.sort(
+        Comparator.comparing(Occupant::priority)
+            .reversed()
+            .thenComparing(each -> each.demand().accelerators()));
+    for (Occupant victim : victims) {
+      boolean enough = space.freeWhenLeft().holds(TaskDemand.NONE);
+      if (enough) {
+        return;
+      }
+      if (victim.priority() > priority && !victim.leaving() && stopped.add(victim.unit())) {
+        spaces.values().forEach(each -> each.leave(victim.unit()));
+      }
+    }
+  }
+
+  private @Nullable List<Space> choose(
+      PlacementRequest request, List<Space> eligible, Room room) {
+    String dataRack = request.step().dataRack();
+    if (!dataRack.isEmpty()) {
+      List<Space> onRack =
+          eligible.stream().filter(each -> each.worker.rack().equals(dataRack)).toList();
+      List<Space> chosen = fill(request, onRack, room);
+      if (chosen != null || waitsForRack(request, onRack)) {
+        return chosen;
+      }
+    }
+    if (request.step().singleRack() && request.tasks() > 1) {
+      List<Space> chosen = fillOneRack(request, eligible, room);
+      if (chosen != null || waitsForRack(request, eligible)) {
+        return chosen;
+      }
+    }
+    return fill(request, eligible, room);
+  }
+
+  private static boolean waitsForRack(PlacementRequest request, List<Space> candidates) {
+    long patience = Math.min(request.step().estimateMillis(), LONGEST_RACK_WAIT_MILLIS);
+    return !candidates.isEmpty() && request.waitedMillis() < patience;
+  }
+
+  private @Nullable List<Space> fillOneRack(
+      PlacementRequest request, List<Space> eligible, Room room) {
+    Map<String, List<Space>> racks = new LinkedHashMap<>();
+    for (Space space : eligible) {
+      racks.computeIfAbsent(space.worker.rack(), rack -> new ArrayList<>()).add(space);
+    }
+    List<Space> best = null;
+    long bestLeft = Long.MAX_VALUE;
+    for (List<Space> rack : racks.values()) {
+      List<Space> chosen = fill(request, rack, room);
+      long left = rack.stream().mapToLong(each -> room.of(each).accelerators()).sum();
+      if (chosen != null && left < bestLeft) {
+        best = chosen;
+        bestLeft = left;
+      }
+    }
+    return best;
+  }
+
+  /** Returns a worker for each task, fewest workers first; null where not all tasks fit. */
+  private static @Nullable List<Space> fill(
+      PlacementRequest request, List<Space> candidates, Room room) {
+    record Offer(Space space, int copies, TaskDemand free) {}
+
+    List<Offer> offers = new ArrayList<>();
+    for (Space space : candidates) {
+      int copies = space.copies(request, room.of(space));
+      if (copies > 0) {
+        offers.add(new Offer(space, copies, room.of(space)));
+      }
+    }
+    Comparator<Offer> order =
+        Comparator.comparingInt((Offer offer) -> -Math.min(offer.copies, request.tasks()))
+            .thenComparingInt(offer -> offer.free.accelerators())
+            .thenComparingLong(offer -> offer.free.processorMillis())
+            .thenComparing(offer -> offer.space.id());
+    offers.sort(order);
+    List<Space> chosen = new ArrayList<>();
+    for (Offer offer : offers) {
+      for (int copy = 0; copy < offer.copies && chosen.size() < request.tasks(); copy++) {
+        chosen.add(offer.space);
+      }
+    }
+    return chosen.size() == request.tasks() ? chosen : null;
+  }
+
+  /** The room of a worker that a choice counts on. */
+  @FunctionalInterface
+  private interface Room {
+    TaskDemand of(Space space);
+  }
+
+  /** A worker with what this round has taken from it. */
+  private static final class Space {
+    private final WorkerSpace worker;
+    private final Set<String> leaving = new HashSet<>();
+    private TaskDemand free;
+
+    Space(WorkerSpace worker) {
+      this.worker = worker;
+      this.free = worker.free();
+      for (Occupant occupant : worker.occupants()) {
+        if (occupant.leaving()) {
+          leaving.add(occupant.unit());
+        }
+      }
+    }
+
+    String id() {
+      return worker.id();
+    }
+
+    TaskDemand free() {
+      return free;
+    }
+
+    void take(TaskDemand demand) {
+      free = free.minus(demand);
+    }
+
+    void leave(String unit) {
+      leaving.add(unit);
+    }
+
+    TaskDemand freeWhenLeft() {
+      TaskDemand sum = free;
+      for (Occupant occupant : worker.occupants()) {
+        sum = leaving.contains(occupant.unit()) ? sum.plus(occupant.demand()) : sum;
+      }
+      return sum;
+    }
+
+    TaskDemand freeAfterDisplacing(int priority) {
+      TaskDemand sum = free;
+      for (Occupant occupant : worker.occupants()) {
+        boolean goes = leaving.contains(occupant.unit()) || occupant.priority() > priority;
+        sum = goes ? sum.plus(occupant.demand()) : sum;
+      }
+      return sum;
+    }
+
+    boolean serves(PlacementRequest request) {
+      StepSpecification step = request.step();
+      return worker.service().equals(request.service())
+          && (step.requiredLabel().isEmpty() || worker.labels().contains(step.requiredLabel()));
+    }
+
+    int copies(PlacementRequest request, TaskDemand room) {
+      int limit = request.tasks();
+      int perWorker = request.step().maximumPerWorker();
+      if (perWorker > 0) {
+        limit = Math.min(limit, perWorker - request.runsOfStep().getOrDefault(id(), 0));
+      }
+      return room.copiesOf(request.step().demand(), limit);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/PlacementRequest.java
@@ -0,0 +1,27 @@
+package io.dragonflyturn.internal.dispatch;
+
+import io.dragonflyturn.internal.workload.StepSpecification;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * A unit that waits for places.
+ *
+ * @param unit the unit's key
+ * @param service the service whose workers may run it
+ * @param priority 0 to 2; 0 comes first
+ * @param step what its tasks ask for
+ * @param tasks the number of tasks, which are placed all or not at all
+ * @param avoided workers that failed the unit before
+ * @param runsOfStep the runs of the same step on each worker; counted where the step limits them
+ * @param waitedMillis how long the unit has been ready, in milliseconds
+ */
+record PlacementRequest(
+    String unit,
+    String service,
+    int priority,
+    StepSpecification step,
+    int tasks,
+    Set<String> avoided,
+    Map<String, Integer> runsOfStep,
+    long waitedMillis) {}
--- /dev/null
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerSession.java
@@ -0,0 +1,186 @@
+package io.dragonflyturn.internal.dispatch;
+
+import io.dragonflyturn.internal.fleet.WorkerRegistration;
+import io.dragonflyturn.internal.workload.TaskDemand;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What the leader knows of one worker: the members that may run there, the lease that covers them,
+ * and the ends that are read and recorded. Times are milliseconds of the steady clock.
+ */
+final class WorkerSession {
+  /** A worker's clock may be this much slower than ours. */
+  private static final double SLOWEST_CLOCK = 0.97;
+
+  private static final long LEASE_MARGIN_MILLIS = 300;
+
+  private final Map<String, Member> members = new LinkedHashMap<>();
+  private WorkerRegistration registration;
+  private boolean listed = true;
+  private long bornMillis;
+  private long anchorMillis;
+  private long anchorClockMillis;
+  private long leaseBoundMillis;
+  private long seenEnd;
+  private long recordedEnd;
+  private long acknowledgedEnd;
+  private boolean holding;
+  private boolean kickScheduled;
+  private int silentHolds;
+  private TaskDemand used = TaskDemand.NONE;
+
+  WorkerSession(WorkerRegistration registration, long nowMillis) {
+    this.registration = registration;
+    this.bornMillis = registration.bornMillis();
+    anchor(registration.clockMillis(), nowMillis);
+  }
+
+  String id() {
+    return registration.id();
+  }
+
+  WorkerRegistration registration() {
+    return registration;
+  }
+
+  long bornMillis() {
+    return bornMillis;
+  }
+
+  boolean isListed() {
+    return listed;
+  }
+
+  void unlist() {
+    listed = false;
+  }
+
+  /** Takes a newer report; returns whether the worker has begun another life. */
+  boolean update(WorkerRegistration next, long nowMillis) {
+    listed = true;
+    registration = next;
+    if (next.bornMillis() > bornMillis) {
+      beginLife(next.bornMillis(), next.clockMillis(), nowMillis);
+      return true;
+    }
+    return false;
+  }
+
+  /** Notes that the worker has started again, and counts its ends from the beginning. */
+  void beginLife(long born, long clockMillis, long nowMillis) {
+    bornMillis = born;
+    seenEnd = 0;
+    recordedEnd = 0;
+    acknowledgedEnd = 0;
+    anchor(clockMillis, nowMillis);
+  }
+
+  /** Takes a reading of the worker's clock that is not newer than now. */
+  void anchor(long clockMillis, long nowMillis) {
+    anchorClockMillis = clockMillis;
+    anchorMillis = nowMillis;
+  }
+
+  /** Returns the end of a lease that is given now, on the worker's clock, and remembers it. */
+  long grantLease(long leaseMillis, long nowMillis) {
+    extendLeaseBound(nowMillis + leaseMillis);
+    return anchorClockMillis + nowMillis - anchorMillis + leaseMillis;
+  }
+
+  /** Notes that the worker may hold a lease until a time of a clock as slow as allowed. */
+  void extendLeaseBound(long untilMillis) {
+    leaseBoundMillis = Math.max(leaseBoundMillis, untilMillis + LEASE_MARGIN_MILLIS);
+  }
+
+  /** Returns when every lease on the worker has ended for certain. */
+  boolean leaseHasEnded(long nowMillis, long leaseMillis) {
+    long drift = (long) (leaseMillis / SLOWEST_CLOCK) - leaseMillis;
+    return nowMillis > leaseBoundMillis + drift;
+  }
+
+  Collection<Member> members() {
+    return members.values();
+  }
+
+  @Nullable Member member(String task) {
+    return members.get(task);
+  }
+
+  void add(Member member) {
+    members.put(member.task(), member);
+    used = used.plus(member.unit().step().demand());
+  }
+
+  void remove(Member member) {
+    if (members.remove(member.task(), member)) {
+      used = used.minus(member.unit().step().demand());
+    }
+  }
+
+  TaskDemand free() {
+    return registration.capacity().minus(used);
+  }
+
+  long seenEnd() {
+    return seenEnd;
+  }
+
+  void endSeen(long number) {
+    seenEnd = Math.max(seenEnd, number);
+  }
+
+  void endRecorded(long number) {
+    recordedEnd = Math.max(recordedEnd, number);
+  }
+
+  long recordedEnd() {
+    return recordedEnd;
+  }
+
+  void acknowledged(long number) {
+    acknowledgedEnd = Math.max(acknowledgedEnd, number);
+  }
+
+  boolean owesAcknowledgement() {
+    return recordedEnd > acknowledgedEnd;
+  }
+
+  boolean hasUnrecordedEnds() {
+    return seenEnd > recordedEnd;
+  }
+
+  boolean needsHold() {
+    return !members.isEmpty() || owesAcknowledgement();
+  }
+
+  boolean isHolding() {
+    return holding;
+  }
+
+  void setHolding(boolean now) {
+    holding = now;
+  }
+
+  boolean isKickScheduled() {
+    return kickScheduled;
+  }
+
+  void setKickScheduled(boolean now) {
+    kickScheduled = now;
+  }
+
+  int silentHolds() {
+    return silentHolds;
+  }
+
+  void countSilence() {
+    silentHolds++;
+  }
+
+  void answered() {
+    silentHolds = 0;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerSpace.java
@@ -0,0 +1,34 @@
+package io.dragonflyturn.internal.dispatch;
+
+import io.dragonflyturn.internal.workload.TaskDemand;
+import java.util.List;
+
+/**
+ * A worker as the planner sees it.
+ *
+ * @param id the worker's identifier
+ * @param service the service that it belongs to
+ * @param rack its rack
+ * @param labels its labels
+ * @param trusted whether its recent runs give no reason to avoid it
+ * @param free what no run occupies
+ * @param occupants the runs on it, one for each member
+ */
+record WorkerSpace(
+    String id,
+    String service,
+    String rack,
+    List<String> labels,
+    boolean trusted,
+    TaskDemand free,
+    List<Occupant> occupants) {
+  /**
+   * A member of a run on a worker.
+   *
+   * @param unit the key of the unit that runs
+   * @param priority the priority of its job
+   * @param demand what it occupies
+   * @param leaving whether it is being stopped
+   */
+  record Occupant(String unit, int priority, TaskDemand demand, boolean leaving) {}
+}
--- /dev/null
+++ b/src/main/java/io/dragonflyturn/internal/ledger/TopicFollower.java
@@ -0,0 +1,184 @@
+package io.dragonflyturn.internal.ledger;
+
+import io.dragonflyturn.internal.logging.EventLog;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Keeps a listener up to date with a topic: the newest value of each key, then every change.
+ *
+ * <p>Runs on the event loop that it is given; its methods are called there.
+ */
+public final class TopicFollower {
+  private static final Duration WAIT = Duration.ofSeconds(5);
+  private static final long SHORTEST_RETRY_MILLIS = 100;
+  private static final long LONGEST_RETRY_MILLIS = 400;
+
+  private final RecordStore store;
+  private final String topic;
+  private final TopicListener listener;
+  private final ScheduledExecutorService loop;
+  private final Supplier<Duration> pause;
+  private final InstantSource steady;
+  private final EventLog events;
+  private long next;
+  private long retryMillis = SHORTEST_RETRY_MILLIS;
+  private long lastContactMillis;
+  private boolean reachable;
+  private boolean listed;
+  private int generation;
+
+  /**
+   * Creates a follower that does nothing until it is started.
+   *
+   * @param pause how long to let records gather between two reads
+   */
+  public TopicFollower(
+      RecordStore store,
+      String topic,
+      TopicListener listener,
+      ScheduledExecutorService loop,
+      Supplier<Duration> pause,
+      InstantSource steady,
+      EventLog events) {
+    this.store = store;
+    this.topic = topic;
+    this.listener = listener;
+    this.loop = loop;
+    this.pause = pause;
+    this.steady = steady;
+    this.events = events;
+    this.lastContactMillis = steady.millis();
+  }
+
+  /** Starts from the newest values. */
+  public void start() {
+    generation++;
+    list(generation, "", new HashMap<>(), -1);
+  }
+
+  /** Stops; answers that are still awaited are dropped. */
+  public void stop() {
+    generation++;
+    listed = false;
+  }
+
+  /** Says whether the newest values have been read since the start. */
+  public boolean isListed() {
+    return listed;
+  }
+
+  /** Returns the offset of the next record. */
+  public long nextOffset() {
+    return next;
+  }
+
+  /** Returns how long the store has not answered. */
+  public Duration silence() {
+    return reachable ? Duration.ZERO : Duration.ofMillis(steady.millis() - lastContactMillis);
+  }
+
+  private void list(int current, String after, Map<String, byte[]> gathered, long firstEnd) {
+    store
+        .newest(topic, after)
+        .whenCompleteAsync(
+            (page, failure) -> listAnswered(current, gathered, firstEnd, page, failure), loop);
+  }
+
+  private void listAnswered(
+      int current,
+      Map<String, byte[]> gathered,
+      long firstEnd,
+      RecordStore.@Nullable Page page,
+      @Nullable Throwable failure) {
+    if (current != generation) {
+      return;
+    }
+    if (page == null) {
+      retry(failure, () -> list(current, "", new HashMap<>(), -1));
+      return;
+    }
+    contact();
+    page.records().forEach(each -> put(gathered, each));
+    long start = firstEnd < 0 ? page.end() : firstEnd;
+    if (page.more() && !page.records().isEmpty()) {
+      list(current, page.records().getLast().key(), gathered, start);
+      return;
+    }
+    next = start;
+    listed = true;
+    listener.reset(gathered);
+    listener.reached(next);
+    read(current);
+  }
+
+  private static void put(Map<String, byte[]> gathered, KeyedRecord change) {
+    if (change.value() == null) {
+      gathered.remove(change.key());
+    } else {
+      gathered.put(change.key(), change.value());
+    }
+  }
+
+  private void read(int current) {
+    if (current != generation) {
+      return;
+    }
+    store
+        .read(topic, next, WAIT)
+        .whenCompleteAsync((slice, failure) -> readAnswered(current, slice, failure), loop);
+  }
+
+  private void readAnswered(
+      int current, RecordStore.@Nullable Slice slice, @Nullable Throwable failure) {
+    if (current != generation) {
+      return;
+    }
+    if (slice == null) {
+      retry(failure, () -> read(current));
+      return;
+    }
+    contact();
+    if (slice.trimmed()) {
+      events.event("records-trimmed").with("topic", topic).with("offset", next).write();
+      list(current, "", new HashMap<>(), -1);
+      return;
+    }
+    for (KeyedRecord change : slice.records()) {
+      listener.apply(change);
+    }
+    next += slice.records().size();
+    listener.reached(next);
+    long pauseMillis = pause.get().toMillis();
+    if (pauseMillis == 0 || slice.records().isEmpty()) {
+      read(current);
+    } else {
+      loop.schedule(() -> read(current), pauseMillis, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void contact() {
+    if (!reachable) {
+      events.event("store-reached").with("topic", topic).write();
+    }
+    reachable = true;
+    retryMillis = SHORTEST_RETRY_MILLIS;
+    lastContactMillis = steady.millis();
+  }
+
+  private void retry(@Nullable Throwable failure, Runnable attempt) {
+    if (reachable) {
+      lastContactMillis = steady.millis();
+      events.event("store-lost").with("topic", topic).with("cause", failure).write();
+    }
+    reachable = false;
+    loop.schedule(attempt, retryMillis, TimeUnit.MILLISECONDS);
+    retryMillis = Math.min(LONGEST_RETRY_MILLIS, retryMillis * 2);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/dragonflyturn/internal/ledger/WriterPosition.java
@@ -0,0 +1,10 @@
+package io.dragonflyturn.internal.ledger;
+
+/**
+ * Identifies an append, so that the store applies it once.
+ *
+ * @param writer the writer's name
+ * @param epoch fences every writer of that name with a lower epoch
+ * @param sequence the number of the append within the epoch
+ */
+public record WriterPosition(String writer, long epoch, long sequence) {}
--- /dev/null
+++ b/src/main/java/io/dragonflyturn/internal/workload/JobPhase.java
@@ -0,0 +1,15 @@
+package io.dragonflyturn.internal.workload;
+
+/** How far a job is; the numbers are stored. */
+public enum JobPhase {
+  QUEUED,
+  RUNNING,
+  COMPLETED,
+  FAILED,
+  CANCELLED;
+
+  /** Says whether the job has ended. */
+  public boolean isEnd() {
+    return this == COMPLETED || this == FAILED || this == CANCELLED;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/dragonflyturn/internal/workload/WorkloadCodec.java
@@ -0,0 +1,195 @@
+package io.dragonflyturn.internal.workload;
+
+import io.dragonflyturn.internal.workload.RunRecord.Placement;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+
+/** The MessagePack form of stored jobs and runs. */
+public final class WorkloadCodec {
+  private WorkloadCodec() {}
+
+  /** Returns the stored form of a submission. */
+  public static byte[] encode(JobSubmission job) {
+    return pack(
+        packer -> {
+          packer.packString(job.id());
+          packer.packString(job.customer());
+          packQueue(packer, job.queue());
+          packer.packLong(job.acceptedMillis());
+          packer.packString(job.specification());
+          packer.packArrayHeader(job.steps().size());
+          for (StepSpecification step : job.steps()) {
+            packStep(packer, step);
+          }
+          packer.packInt(job.recurrence().count());
+          packer.packLong(job.recurrence().firstMillis());
+          packer.packLong(job.recurrence().periodMillis());
+        });
+  }
+
+  /** Returns a submission from its stored form. */
+  public static JobSubmission decodeSubmission(byte[] stored) {
+    return unpack(
+        stored,
+        unpacker ->
+            new JobSubmission(
+                unpacker.unpackString(),
+                unpacker.unpackString(),
+                unpackQueue(unpacker),
+                unpacker.unpackLong(),
+                unpacker.unpackString(),
+                unpackList(unpacker, WorkloadCodec::unpackStep),
+                new Recurrence(
+                    unpacker.unpackInt(), unpacker.unpackLong(), unpacker.unpackLong())));
+  }
+
+  /** Returns the stored form of a run. */
+  public static byte[] encode(RunRecord record) {
+    return pack(
+        packer -> {
+          packer.packInt(record.run());
+          packer.packInt(record.phase().ordinal());
+          packer.packInt(record.failures());
+          packer.packString(record.checkpoint());
+          packer.packArrayHeader(record.members().size());
+          for (Placement member : record.members()) {
+            packer.packString(member.worker());
+            packer.packLong(member.bornMillis());
+          }
+        });
+  }
+
+  /** Returns a run from its stored form. */
+  public static RunRecord decodeRun(byte[] stored) {
+    return unpack(
+        stored,
+        unpacker ->
+            new RunRecord(
+                unpacker.unpackInt(),
+                RunRecord.Phase.values()[unpacker.unpackInt()],
+                unpacker.unpackInt(),
+                unpacker.unpackString(),
+                unpackList(
+                    unpacker,
+                    each -> new Placement(each.unpackString(), each.unpackLong()))));
+  }
+
+  /** Returns the stored form of a job's phase. */
+  public static byte[] encode(JobPhase phase) {
+    return new byte[] {(byte) phase.ordinal()};
+  }
+
+  /** Returns a phase from its stored form. */
+  public static JobPhase decodePhase(byte[] stored) {
+    return JobPhase.values()[stored[0]];
+  }
+
+  /** Returns bytes that a writer packs. */
+  public static byte[] pack(PackAction action) {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      action.write(packer);
+      return packer.toByteArray();
+    } catch (IOException failure) {
+      throw new UncheckedIOException(failure);
+    }
+  }
+
+  /** Returns what a reader unpacks from bytes. */
+  public static <T> T unpack(byte[] bytes, UnpackAction<T> action) {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+      return action.read(unpacker);
+    } catch (IOException failure) {
+      throw new UncheckedIOException(failure);
+    }
+  }
+
+  private static void packQueue(MessageBufferPacker packer, QueuePolicy queue)
+      throws IOException {
+    packer.packString(queue.name());
+    packer.packString(queue.service());
+    packer.packInt(queue.priority());
+    packer.packInt(queue.maximumAttempts());
+    packer.packDouble(queue.stretch());
+    packer.packLong(queue.objectiveMillis());
+  }
+
+  private static QueuePolicy unpackQueue(MessageUnpacker unpacker) throws IOException {
+    return new QueuePolicy(
+        unpacker.unpackString(),
+        unpacker.unpackString(),
+        unpacker.unpackInt(),
+        unpacker.unpackInt(),
+        unpacker.unpackDouble(),
+        unpacker.unpackLong());
+  }
+
+  private static void packStep(MessageBufferPacker packer, StepSpecification step)
+      throws IOException {
+    packer.packInt(step.replicas());
+    packer.packLong(step.demand().processorMillis());
+    packer.packLong(step.demand().memoryMegabytes());
+    packer.packInt(step.demand().accelerators());
+    packer.packLong(step.estimateMillis());
+    packer.packArrayHeader(step.dependencies().size());
+    for (int dependency : step.dependencies()) {
+      packer.packInt(dependency);
+    }
+    packer.packBoolean(step.checkpointed());
+    packer.packBoolean(step.gang());
+    packer.packBoolean(step.singleRack());
+    packer.packString(step.requiredLabel());
+    packer.packString(step.dataRack());
+    packer.packInt(step.maximumPerWorker());
+    packer.packBoolean(step.copiesMayRace());
+    packer.packBoolean(step.endless());
+  }
+
+  private static StepSpecification unpackStep(MessageUnpacker unpacker) throws IOException {
+    return new StepSpecification(
+        unpacker.unpackInt(),
+        new TaskDemand(unpacker.unpackLong(), unpacker.unpackLong(), unpacker.unpackInt()),
+        unpacker.unpackLong(),
+        unpackList(unpacker, MessageUnpacker::unpackInt),
+        unpacker.unpackBoolean(),
+        unpacker.unpackBoolean(),
+        unpacker.unpackBoolean(),
+        unpacker.unpackString(),
+        unpacker.unpackString(),
+        unpacker.unpackInt(),
+        unpacker.unpackBoolean(),
+        unpacker.unpackBoolean());
+  }
+
+  private static <T> List<T> unpackList(MessageUnpacker unpacker, UnpackAction<T> each)
+      throws IOException {
+    int size = unpacker.unpackArrayHeader();
+    List<T> values = new ArrayList<>(size);
+    for (int i = 0; i < size; i++) {
+      values.add(each.read(unpacker));
+    }
+    return values;
+  }
+
+  /** Packs one value. */
+  @FunctionalInterface
+  public interface PackAction {
+    /** Writes the value's fields. */
+    void write(MessageBufferPacker packer) throws IOException;
+  }
+
+  /**
+   * Unpacks one value.
+   *
+   * @param <T> the value
+   */
+  @FunctionalInterface
+  public interface UnpackAction<T> {
+    /** Reads the value's fields. */
+    T read(MessageUnpacker unpacker) throws IOException;
+  }
+}
