Count the tasks that one round places towards a step's limit on a worker

Ruled out: the count of earlier runs. Test: PlacementPlannerTest.should_keep_a_step_within_its_limit... failed before.

--- a/src/main/java/io/dragonflyturn/internal/dispatch/JobDirectory.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/JobDirectory.java
@@ -84,11 +84,7 @@
     try {
       fold(change);
     } catch (UncheckedIOException | IndexOutOfBoundsException unreadable) {
-      events
-          .event("record-unreadable")
-          .with("key", change.key())
-          .with("cause", unreadable)
-          .write();
+      events.event("record-unreadable").with("key", change.key()).with("cause", unreadable).write();
     }
   }
 
--- a/src/main/java/io/dragonflyturn/internal/dispatch/LeaderElection.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LeaderElection.java
@@ -21,10 +21,10 @@
 /**
  * Takes the lead where the leader has been silent in the jobs topic.
  *
- * <p>A candidate appends the next term only where the topic ends at what it has read, so exactly one
- * candidate wins a term. The term is the epoch of the leader's appends and the fencing token of its
- * orders. Each candidate starts at a random sequence, so that the store never takes one candidate's
- * append for a repeat of another's.
+ * <p>A candidate appends the next term only where the topic ends at what it has read, so exactly
+ * one candidate wins a term. The term is the epoch of the leader's appends and the fencing token of
+ * its orders. Each candidate starts at a random sequence, so that the store never takes one
+ * candidate's append for a repeat of another's.
  */
 public final class LeaderElection {
   /** The writer's name that all leaders share, so that a later epoch fences an earlier one. */
--- a/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
@@ -505,12 +505,12 @@
     Map<String, Integer> runsOfStep = new HashMap<>();
     if (unit.step().maximumPerWorker() > 0) {
       for (String worker : sessions.keySet()) {
-        runsOfStep.put(
-            worker, unit.job().runsOn(worker, unit.occurrence(), unit.stepIndex()));
+        runsOfStep.put(worker, unit.job().runsOn(worker, unit.occurrence(), unit.stepIndex()));
       }
     }
     return new PlacementRequest(
         unit.key(),
+        unit.stepKey(),
         unit.job().submission().queue().service(),
         unit.job().priority(),
         unit.step(),
--- a/src/main/java/io/dragonflyturn/internal/dispatch/PlacementPlanner.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/PlacementPlanner.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -19,9 +20,9 @@
 /**
  * Decides where waiting units run. Pure: the same fleet and requests give the same plan.
  *
- * <p>Requests are served in their order. A unit whose tasks do not all fit may displace runs of less
- * urgent jobs; the room that they leave stays kept for it. A unit keeps to one rack where its step
- * asks for that or its data lies there, until it has waited as long as its tasks should run.
+ * <p>Requests are served in their order. A unit whose tasks do not all fit may displace runs of
+ * less urgent jobs; the room that they leave stays kept for it. A unit keeps to one rack where its
+ * step asks for that or its data lies there, until it has waited as long as its tasks should run.
  */
 final class PlacementPlanner {
   /** The longest that a unit waits for its preferred rack, in milliseconds. */
@@ -51,7 +52,7 @@
     }
     List<Space> chosen = choose(request, eligible, Space::free);
     if (chosen != null) {
-      chosen.forEach(space -> space.take(request.step().demand()));
+      chosen.forEach(space -> space.place(request));
       placed.add(new Placed(request.unit(), chosen.stream().map(Space::id).toList()));
       return;
     }
@@ -105,8 +106,7 @@
     }
   }
 
-  private @Nullable List<Space> choose(
-      PlacementRequest request, List<Space> eligible, Room room) {
+  private @Nullable List<Space> choose(PlacementRequest request, List<Space> eligible, Room room) {
     String dataRack = request.step().dataRack();
     if (!dataRack.isEmpty()) {
       List<Space> onRack =
@@ -186,6 +186,7 @@
   private static final class Space {
     private final WorkerSpace worker;
     private final Set<String> leaving = new HashSet<>();
+    private final Map<String, Integer> placedOfStep = new HashMap<>();
     private TaskDemand free;
 
     Space(WorkerSpace worker) {
@@ -210,6 +211,12 @@
       free = free.minus(demand);
     }
 
+    /** Takes the room of one task, and counts it towards the step's limit on this worker. */
+    void place(PlacementRequest request) {
+      take(request.step().demand());
+      placedOfStep.merge(request.stepKey(), 1, Integer::sum);
+    }
+
     void leave(String unit) {
       leaving.add(unit);
     }
@@ -241,7 +248,9 @@
       int limit = request.tasks();
       int perWorker = request.step().maximumPerWorker();
       if (perWorker > 0) {
-        limit = Math.min(limit, perWorker - request.runsOfStep().getOrDefault(id(), 0));
+        int earlier = request.runsOfStep().getOrDefault(id(), 0);
+        int inThisRound = placedOfStep.getOrDefault(request.stepKey(), 0);
+        limit = Math.min(limit, perWorker - earlier - inThisRound);
       }
       return room.copiesOf(request.step().demand(), limit);
     }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/PlacementRequest.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/PlacementRequest.java
@@ -8,6 +8,7 @@
  * A unit that waits for places.
  *
  * @param unit the unit's key
+ * @param stepKey what the units of one step and occurrence share
  * @param service the service whose workers may run it
  * @param priority 0 to 2; 0 comes first
  * @param step what its tasks ask for
@@ -18,6 +19,7 @@
  */
 record PlacementRequest(
     String unit,
+    String stepKey,
     String service,
     int priority,
     StepSpecification step,
--- a/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
@@ -17,8 +17,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Carries out runs: records a placement before any start is sent, gives orders until their effect is
- * known, and records ends.
+ * Carries out runs: records a placement before any start is sent, gives orders until their effect
+ * is known, and records ends.
  *
  * <p>A run is over only when each member is known to have ended or never to start; until then the
  * unit is placed nowhere else, and its room stays taken.
@@ -267,9 +267,7 @@
       abort(member.run(), "start-unanswered");
       return;
     }
-    context
-        .loop()
-        .schedule(() -> resendStart(member), START_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+    context.loop().schedule(() -> resendStart(member), START_RETRY_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   private void resendStart(Member member) {
--- a/src/main/java/io/dragonflyturn/internal/dispatch/SessionKeeper.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/SessionKeeper.java
@@ -118,8 +118,7 @@
     long acknowledged = session.recordedEnd();
     long lease = session.grantLease(context.settings().leaseMillis(), askedMillis);
     boolean waits = !session.members().isEmpty() && !session.hasUnrecordedEnds();
-    HoldOrder order =
-        new HoldOrder(lease, acknowledged, waits ? LONGEST_WAIT_MILLIS : 0, term);
+    HoldOrder order = new HoldOrder(lease, acknowledged, waits ? LONGEST_WAIT_MILLIS : 0, term);
     context
         .gateway()
         .hold(session.registration(), order)
@@ -227,8 +226,7 @@
         .write();
     context
         .gateway()
-        .stop(
-            session.registration(), new StopOrder(running.task(), running.run(), term));
+        .stop(session.registration(), new StopOrder(running.task(), running.run(), term));
   }
 
   private void settleEnded(WorkerSession session, EndedTask ended) {
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkUnit.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkUnit.java
@@ -66,14 +66,18 @@
 
   /** Returns the key of the unit's run record. */
   String key() {
-    String stepKey = job.id() + '.' + occurrence + '.' + step;
-    return isGang() ? stepKey : stepKey + '.' + index;
+    return isGang() ? stepKey() : stepKey() + '.' + index;
+  }
+
+  /** Returns what the units of one step and occurrence share. */
+  String stepKey() {
+    return job.id() + '.' + occurrence + '.' + step;
   }
 
   /** Returns the name of a member's task. */
   String taskName(int member) {
     int taskIndex = isGang() ? member : index;
-    return job.id() + '.' + occurrence + '.' + step + '.' + taskIndex;
+    return stepKey() + '.' + taskIndex;
   }
 
   int lastRun() {
--- a/src/main/java/io/dragonflyturn/internal/fleet/HoldOrder.java
+++ b/src/main/java/io/dragonflyturn/internal/fleet/HoldOrder.java
@@ -8,5 +8,4 @@
  * @param waitMillis how long the worker may wait for an end before it answers, in milliseconds
  * @param fence the fencing token
  */
-public record HoldOrder(
-    long leaseUntilMillis, long acknowledgedEnd, long waitMillis, long fence) {}
+public record HoldOrder(long leaseUntilMillis, long acknowledgedEnd, long waitMillis, long fence) {}
--- a/src/main/java/io/dragonflyturn/internal/intake/CallerConfiguration.java
+++ b/src/main/java/io/dragonflyturn/internal/intake/CallerConfiguration.java
@@ -19,7 +19,9 @@
     customersByKey = Map.copyOf(customersByKey);
   }
 
-  /** Returns the queue with the longest prefix that a path begins with; null where there is none. */
+  /**
+   * Returns the queue with the longest prefix that a path begins with; null where there is none.
+   */
   public @Nullable CallerQueue queueOf(String host, String path) {
     CallerQueue best = null;
     for (CallerQueue queue : queues) {
--- a/src/main/java/io/dragonflyturn/internal/intake/CallerQueue.java
+++ b/src/main/java/io/dragonflyturn/internal/intake/CallerQueue.java
@@ -10,5 +10,4 @@
  * @param anonymous whether callers need no key
  * @param policy how its jobs are treated
  */
-public record CallerQueue(
-    String host, String pathPrefix, boolean anonymous, QueuePolicy policy) {}
+public record CallerQueue(String host, String pathPrefix, boolean anonymous, QueuePolicy policy) {}
--- a/src/main/java/io/dragonflyturn/internal/ledger/RecordStore.java
+++ b/src/main/java/io/dragonflyturn/internal/ledger/RecordStore.java
@@ -14,7 +14,9 @@
   /** Reads from an offset, and waits for a record where there is none yet. */
   CompletableFuture<Slice> read(String topic, long from, Duration wait);
 
-  /** Returns a page of the newest record of each key after {@code afterKey}; empty for the first. */
+  /**
+   * Returns a page of the newest record of each key after {@code afterKey}; empty for the first.
+   */
   CompletableFuture<Page> newest(String topic, String afterKey);
 
   /**
--- a/src/main/java/io/dragonflyturn/internal/workload/WorkloadCodec.java
+++ b/src/main/java/io/dragonflyturn/internal/workload/WorkloadCodec.java
@@ -75,8 +75,7 @@
                 unpacker.unpackInt(),
                 unpacker.unpackString(),
                 unpackList(
-                    unpacker,
-                    each -> new Placement(each.unpackString(), each.unpackLong()))));
+                    unpacker, each -> new Placement(each.unpackString(), each.unpackLong()))));
   }
 
   /** Returns the stored form of a job's phase. */
@@ -108,8 +107,7 @@
     }
   }
 
-  private static void packQueue(MessageBufferPacker packer, QueuePolicy queue)
-      throws IOException {
+  private static void packQueue(MessageBufferPacker packer, QueuePolicy queue) throws IOException {
     packer.packString(queue.name());
     packer.packString(queue.service());
     packer.packInt(queue.priority());
--- /dev/null
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/PlacementPlannerTest.java
@@ -0,0 +1,187 @@
+package io.dragonflyturn.internal.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.dragonflyturn.internal.dispatch.PlacementPlan.Placed;
+import io.dragonflyturn.internal.dispatch.PlacementPlan.WaitCause;
+import io.dragonflyturn.internal.dispatch.WorkerSpace.Occupant;
+import io.dragonflyturn.internal.workload.StepSpecification;
+import io.dragonflyturn.internal.workload.TaskDemand;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class PlacementPlannerTest {
+  private static final TaskDemand WHOLE = new TaskDemand(32_000, 65_536, 8);
+  private static final TaskDemand SMALL = new TaskDemand(2_800, 5_700, 1);
+
+  @Test
+  void should_keep_a_step_within_its_limit_on_a_worker_when_one_round_places_several_tasks() {
+    StepSpecification step = new StepBuilder(SMALL).mostPerWorker(1).build();
+    List<PlacementRequest> tasks =
+        List.of(task("j.0.0.0", step), task("j.0.0.1", step), task("j.0.0.2", step));
+
+    PlacementPlan plan =
+        PlacementPlanner.plan(List.of(worker("w1", "r1"), worker("w2", "r1")), tasks);
+
+    assertThat(plan.placed())
+        .extracting(Placed::workers)
+        .containsExactly(List.of("w1"), List.of("w2"));
+    assertThat(plan.waiting()).containsEntry("j.0.0.2", WaitCause.NO_ROOM);
+  }
+
+  @Test
+  void should_place_a_gang_that_wants_one_rack_on_one_rack() {
+    StepSpecification step = new StepBuilder(WHOLE).gang(2).singleRack().build();
+    List<WorkerSpace> fleet = List.of(worker("a1", "ra"), worker("b1", "rb"), worker("b2", "rb"));
+
+    PlacementPlan plan = PlacementPlanner.plan(fleet, List.of(gang("j.0.0", step, 0)));
+
+    assertThat(plan.placed()).containsExactly(new Placed("j.0.0", List.of("b1", "b2")));
+  }
+
+  @Test
+  void should_place_no_member_of_a_gang_that_does_not_fit_whole() {
+    StepSpecification step = new StepBuilder(WHOLE).gang(3).build();
+
+    PlacementPlan plan =
+        PlacementPlanner.plan(
+            List.of(worker("w1", "r1"), worker("w2", "r1")), List.of(gang("j.0.0", step, 0)));
+
+    assertThat(plan.placed()).isEmpty();
+    assertThat(plan.waiting()).containsEntry("j.0.0", WaitCause.NO_ROOM);
+  }
+
+  @Test
+  void should_displace_less_urgent_runs_and_keep_their_room_for_the_urgent_unit() {
+    StepSpecification urgent = new StepBuilder(WHOLE).gang(1).build();
+    StepSpecification later = new StepBuilder(SMALL).build();
+    WorkerSpace busy = occupied("w1", new Occupant("old.0.0.0", 2, WHOLE, false));
+
+    PlacementPlan plan =
+        PlacementPlanner.plan(
+            List.of(busy), List.of(gang("urgent.0.0", urgent, 0), task("later.0.0.0", later)));
+
+    assertThat(plan.placed()).isEmpty();
+    assertThat(plan.stopped()).containsExactly("old.0.0.0");
+    assertThat(plan.waiting())
+        .containsEntry("urgent.0.0", WaitCause.STOPPING_OTHERS)
+        .containsEntry("later.0.0.0", WaitCause.NO_ROOM);
+  }
+
+  @Test
+  void should_stop_nothing_further_while_room_is_being_vacated() {
+    StepSpecification urgent = new StepBuilder(WHOLE).gang(1).build();
+    WorkerSpace vacating = occupied("w1", new Occupant("old.0.0.0", 2, WHOLE, true));
+    WorkerSpace busy = occupied("w2", new Occupant("other.0.0.0", 2, WHOLE, false));
+
+    PlacementPlan plan =
+        PlacementPlanner.plan(List.of(vacating, busy), List.of(gang("urgent.0.0", urgent, 0)));
+
+    assertThat(plan.stopped()).isEmpty();
+    assertThat(plan.waiting()).containsEntry("urgent.0.0", WaitCause.STOPPING_OTHERS);
+  }
+
+  @Test
+  void should_never_displace_runs_of_the_same_urgency() {
+    StepSpecification step = new StepBuilder(WHOLE).gang(1).build();
+    WorkerSpace busy = occupied("w1", new Occupant("old.0.0", 0, WHOLE, false));
+
+    PlacementPlan plan = PlacementPlanner.plan(List.of(busy), List.of(gang("j.0.0", step, 0)));
+
+    assertThat(plan.stopped()).isEmpty();
+  }
+
+  @Test
+  void should_use_only_workers_with_the_required_label() {
+    StepSpecification step = new StepBuilder(SMALL).label("big").build();
+
+    PlacementPlan plan =
+        PlacementPlanner.plan(List.of(worker("w1", "r1")), List.of(task("j.0.0.0", step)));
+
+    assertThat(plan.waiting()).containsEntry("j.0.0.0", WaitCause.NO_ELIGIBLE_WORKER);
+  }
+
+  @Test
+  void should_avoid_a_worker_that_failed_the_unit_while_another_is_eligible() {
+    StepSpecification step = new StepBuilder(SMALL).build();
+    PlacementRequest request =
+        new PlacementRequest("j.0.0.0", "j.0.0", "service", 1, step, 1, Set.of("w1"), Map.of(), 0);
+
+    PlacementPlan plan =
+        PlacementPlanner.plan(List.of(worker("w1", "r1"), worker("w2", "r1")), List.of(request));
+
+    assertThat(plan.placed()).containsExactly(new Placed("j.0.0.0", List.of("w2")));
+  }
+
+  private static WorkerSpace worker(String id, String rack) {
+    return new WorkerSpace(id, "service", rack, List.of("a", rack), true, WHOLE, List.of());
+  }
+
+  private static WorkerSpace occupied(String id, Occupant occupant) {
+    TaskDemand free = WHOLE.minus(occupant.demand());
+    return new WorkerSpace(id, "service", "r1", List.of("a", "r1"), true, free, List.of(occupant));
+  }
+
+  private static PlacementRequest task(String key, StepSpecification step) {
+    String stepKey = key.substring(0, key.lastIndexOf('.'));
+    return new PlacementRequest(key, stepKey, "service", 1, step, 1, Set.of(), Map.of(), 0);
+  }
+
+  private static PlacementRequest gang(String key, StepSpecification step, long waitedMillis) {
+    return new PlacementRequest(
+        key, key, "service", 0, step, step.replicas(), Set.of(), Map.of(), waitedMillis);
+  }
+
+  /** Builds a step of tasks that ask for the same. */
+  private static final class StepBuilder {
+    private final TaskDemand demand;
+    private int replicas = 1;
+    private boolean gang;
+    private boolean singleRack;
+    private String label = "";
+    private int mostPerWorker;
+
+    StepBuilder(TaskDemand demand) {
+      this.demand = demand;
+    }
+
+    StepBuilder gang(int members) {
+      gang = true;
+      replicas = members;
+      return this;
+    }
+
+    StepBuilder singleRack() {
+      singleRack = true;
+      return this;
+    }
+
+    StepBuilder label(String required) {
+      label = required;
+      return this;
+    }
+
+    StepBuilder mostPerWorker(int most) {
+      mostPerWorker = most;
+      return this;
+    }
+
+    StepSpecification build() {
+      return new StepSpecification(
+          replicas,
+          demand,
+          2_500,
+          List.of(),
+          false,
+          gang,
+          singleRack,
+          label,
+          "",
+          mostPerWorker,
+          false,
+          false);
+    }
+  }
+}
