Let the lease of a silent worker end, and test the leader on a manual event loop

Change: after two unanswered orders the worker is asked without a renewal. Failures in callbacks of futures, which nobody saw, are logged. Test: DispatcherTest.should_move_work_off_a_worker_that_is_cut_off... failed with the renewal.

--- a/src/main/java/io/dragonflyturn/internal/dispatch/Dispatcher.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/Dispatcher.java
@@ -1,5 +1,6 @@
 package io.dragonflyturn.internal.dispatch;
 
+import io.dragonflyturn.internal.logging.LoggedCallback;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -78,7 +79,12 @@
     if (!stopped) {
       election.tick(contact.isListed() && contact.silence().isZero());
     }
-    context.loop().schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    context
+        .loop()
+        .schedule(
+            LoggedCallback.of(context.events(), "tick", this::tick),
+            TICK_MILLIS,
+            TimeUnit.MILLISECONDS);
   }
 
   @Override
--- a/src/main/java/io/dragonflyturn/internal/dispatch/LeaderElection.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LeaderElection.java
@@ -11,6 +11,7 @@
 import io.dragonflyturn.internal.ledger.RecordStore;
 import io.dragonflyturn.internal.ledger.WriterPosition;
 import io.dragonflyturn.internal.logging.EventLog;
+import io.dragonflyturn.internal.logging.LoggedCallback;
 import java.time.InstantSource;
 import java.util.List;
 import java.util.OptionalLong;
@@ -149,7 +150,11 @@
             OptionalLong.of(proposal.expectedEnd),
             List.of(new KeyedRecord(LedgerKeys.LEADER, record.encode())))
         .whenCompleteAsync(
-            (outcome, failure) -> answered(proposal, outcome == null ? new Unknown() : outcome),
+            LoggedCallback.of(
+                events,
+                "answered",
+                (outcome, failure) ->
+                    answered(proposal, outcome == null ? new Unknown() : outcome)),
             loop);
   }
 
--- a/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
@@ -7,6 +7,7 @@
 import io.dragonflyturn.internal.ledger.RecordStore;
 import io.dragonflyturn.internal.ledger.SequencedWriter;
 import io.dragonflyturn.internal.ledger.WriteResult;
+import io.dragonflyturn.internal.logging.LoggedCallback;
 import io.dragonflyturn.internal.workload.JobPhase;
 import io.dragonflyturn.internal.workload.RunRecord;
 import io.dragonflyturn.internal.workload.TaskDemand;
@@ -122,7 +123,10 @@
     context
         .store()
         .newest(LedgerKeys.RUNS_TOPIC, after)
-        .whenCompleteAsync((page, failure) -> loaded(gathered, page), context.loop());
+        .whenCompleteAsync(
+            LoggedCallback.of(
+                context.events(), "loaded", (page, failure) -> loaded(gathered, page)),
+            context.loop());
   }
 
   private void loaded(Map<String, RunRecord> gathered, RecordStore.@Nullable Page page) {
--- a/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
@@ -11,6 +11,7 @@
 import io.dragonflyturn.internal.ledger.KeyedRecord;
 import io.dragonflyturn.internal.ledger.SequencedWriter;
 import io.dragonflyturn.internal.ledger.WriteResult;
+import io.dragonflyturn.internal.logging.LoggedCallback;
 import io.dragonflyturn.internal.workload.WorkloadCodec;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -218,7 +219,12 @@
     context
         .gateway()
         .start(session.registration(), order)
-        .whenCompleteAsync((answer, failure) -> startAnswered(member, answer), context.loop());
+        .whenCompleteAsync(
+            LoggedCallback.of(
+                context.events(),
+                "startAnswered",
+                (answer, failure) -> startAnswered(member, answer)),
+            context.loop());
   }
 
   private void startAnswered(Member member, OrderAnswer answer) {
@@ -309,7 +315,12 @@
     context
         .gateway()
         .stop(member.session().registration(), order)
-        .whenCompleteAsync((answer, failure) -> stopAnswered(member, answer), context.loop());
+        .whenCompleteAsync(
+            LoggedCallback.of(
+                context.events(),
+                "stopAnswered",
+                (answer, failure) -> stopAnswered(member, answer)),
+            context.loop());
   }
 
   private void stopAnswered(Member member, OrderAnswer answer) {
--- a/src/main/java/io/dragonflyturn/internal/dispatch/SessionKeeper.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/SessionKeeper.java
@@ -11,6 +11,7 @@
 import io.dragonflyturn.internal.fleet.OrderAnswer.Reason;
 import io.dragonflyturn.internal.fleet.RunningTask;
 import io.dragonflyturn.internal.fleet.StopOrder;
+import io.dragonflyturn.internal.logging.LoggedCallback;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -28,6 +29,10 @@
   private static final long UNRECORDED_PAUSE_MILLIS = 100;
   private static final long SILENCE_PAUSE_MILLIS = 250;
   private static final long ACKNOWLEDGEMENT_DELAY_MILLIS = 800;
+
+  /** A worker that leaves so many orders unanswered is asked without renewing its lease. */
+  private static final int SILENT_HOLDS_THAT_END_LEASE = 2;
+
   private static final long STALL_MILLIS = 3_500;
 
   private final DispatchContext context;
@@ -116,14 +121,21 @@
     context.metrics().holds().inc();
     long askedMillis = context.now();
     long acknowledged = session.recordedEnd();
-    long lease = session.grantLease(context.settings().leaseMillis(), askedMillis);
+    boolean silent = session.silentHolds() >= SILENT_HOLDS_THAT_END_LEASE;
+    long lease =
+        silent
+            ? HoldOrder.NO_RENEWAL
+            : session.grantLease(context.settings().leaseMillis(), askedMillis);
     boolean waits = !session.members().isEmpty() && !session.hasUnrecordedEnds();
     HoldOrder order = new HoldOrder(lease, acknowledged, waits ? LONGEST_WAIT_MILLIS : 0, term);
     context
         .gateway()
         .hold(session.registration(), order)
         .whenCompleteAsync(
-            (answer, failure) -> answered(session, askedMillis, acknowledged, answer),
+            LoggedCallback.of(
+                context.events(),
+                "answered",
+                (answer, failure) -> answered(session, askedMillis, acknowledged, answer)),
             context.loop());
   }
 
--- a/src/main/java/io/dragonflyturn/internal/ledger/SequencedWriter.java
+++ b/src/main/java/io/dragonflyturn/internal/ledger/SequencedWriter.java
@@ -7,6 +7,7 @@
 import io.dragonflyturn.internal.ledger.AppendOutcome.Stored;
 import io.dragonflyturn.internal.ledger.AppendOutcome.Unknown;
 import io.dragonflyturn.internal.logging.EventLog;
+import io.dragonflyturn.internal.logging.LoggedCallback;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
@@ -122,7 +123,11 @@
     store
         .append(topic, position, OptionalLong.empty(), records)
         .whenCompleteAsync(
-            (outcome, failure) -> answered(batch, outcome == null ? new Unknown() : outcome), loop);
+            LoggedCallback.of(
+                events,
+                "answered",
+                (outcome, failure) -> answered(batch, outcome == null ? new Unknown() : outcome)),
+            loop);
   }
 
   private void answered(List<Entry> batch, AppendOutcome outcome) {
--- a/src/main/java/io/dragonflyturn/internal/ledger/TopicFollower.java
+++ b/src/main/java/io/dragonflyturn/internal/ledger/TopicFollower.java
@@ -1,6 +1,7 @@
 package io.dragonflyturn.internal.ledger;
 
 import io.dragonflyturn.internal.logging.EventLog;
+import io.dragonflyturn.internal.logging.LoggedCallback;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.HashMap;
@@ -88,7 +89,11 @@
     store
         .newest(topic, after)
         .whenCompleteAsync(
-            (page, failure) -> listAnswered(current, gathered, firstEnd, page, failure), loop);
+            LoggedCallback.of(
+                events,
+                "listAnswered",
+                (page, failure) -> listAnswered(current, gathered, firstEnd, page, failure)),
+            loop);
   }
 
   private void listAnswered(
@@ -132,7 +137,10 @@
     }
     store
         .read(topic, next, WAIT)
-        .whenCompleteAsync((slice, failure) -> readAnswered(current, slice, failure), loop);
+        .whenCompleteAsync(
+            LoggedCallback.of(
+                events, "readAnswered", (slice, failure) -> readAnswered(current, slice, failure)),
+            loop);
   }
 
   private void readAnswered(
--- /dev/null
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/DispatchFixture.java
@@ -0,0 +1,232 @@
+package io.dragonflyturn.internal.dispatch;
+
+import com.codahale.metrics.MetricRegistry;
+import io.dragonflyturn.internal.fleet.HoldAnswer;
+import io.dragonflyturn.internal.fleet.HoldOrder;
+import io.dragonflyturn.internal.fleet.OrderAnswer;
+import io.dragonflyturn.internal.fleet.RegistrationListener;
+import io.dragonflyturn.internal.fleet.StartOrder;
+import io.dragonflyturn.internal.fleet.StopOrder;
+import io.dragonflyturn.internal.fleet.WorkerGateway;
+import io.dragonflyturn.internal.fleet.WorkerRegistration;
+import io.dragonflyturn.internal.ledger.AppendOutcome;
+import io.dragonflyturn.internal.ledger.KeyedRecord;
+import io.dragonflyturn.internal.ledger.RecordStore;
+import io.dragonflyturn.internal.ledger.SequencedWriter;
+import io.dragonflyturn.internal.ledger.TopicFollower;
+import io.dragonflyturn.internal.ledger.WriterPosition;
+import io.dragonflyturn.internal.logging.EventLog;
+import io.dragonflyturn.internal.workload.JobPhase;
+import io.dragonflyturn.internal.workload.JobSubmission;
+import io.dragonflyturn.internal.workload.QueuePolicy;
+import io.dragonflyturn.internal.workload.Recurrence;
+import io.dragonflyturn.internal.workload.StepSpecification;
+import io.dragonflyturn.internal.workload.TaskDemand;
+import io.dragonflyturn.internal.workload.WorkloadCodec;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.jspecify.annotations.Nullable;
+
+/** Instances, a store, and workers in memory on one manual event loop. */
+final class DispatchFixture {
+  static final TaskDemand TASK = new TaskDemand(4_000, 8_000, 1);
+
+  final ManualLoop loop = new ManualLoop();
+  final FakeRecordStore store = new FakeRecordStore(loop);
+  final FakeWorkers workers = new FakeWorkers(loop);
+  final Set<String> domainsOut = new HashSet<>();
+  private final List<Instance> instances = new ArrayList<>();
+  private final EventLog events = new EventLog(System.err, loop, "test");
+  private final SequencedWriter submissions =
+      new SequencedWriter(store, LedgerKeys.JOBS_TOPIC, "entry", 1, 1, true, loop, events);
+
+  DispatchFixture() {
+    events.start();
+  }
+
+  /** One instance, which can be killed. */
+  final class Instance {
+    final Dispatcher dispatcher;
+    final JobDirectory directory = new JobDirectory(loop, events);
+    private final KillableStore access;
+    private final Feed feed = new Feed();
+
+    Instance(String name) {
+      access = new KillableStore(store);
+      TopicFollower follower =
+          new TopicFollower(
+              access, LedgerKeys.JOBS_TOPIC, directory, loop, () -> Duration.ZERO, loop, events);
+      dispatcher =
+          new Dispatcher(
+              new DispatchContext(
+                  name,
+                  access,
+                  new KillableGateway(workers, access),
+                  feed,
+                  domainsOut::contains,
+                  directory,
+                  loop,
+                  loop,
+                  loop,
+                  new DispatchSettings(6_000, 200, 3_000),
+                  events,
+                  DispatchMetrics.register(new MetricRegistry())),
+              new Contact(follower));
+      follower.start();
+      dispatcher.start();
+    }
+
+    /** Lets nothing of this instance reach the store or a worker any more. */
+    void kill() {
+      access.killed = true;
+    }
+
+    /** Lets the instance reach the store and the workers again. */
+    void revive() {
+      access.killed = false;
+    }
+
+    @Nullable JobPhase phase(String job) {
+      JobEntry entry = directory.job(job);
+      return entry == null ? null : entry.phase();
+    }
+  }
+
+  Instance instance(String name) {
+    Instance instance = new Instance(name);
+    instances.add(instance);
+    return instance;
+  }
+
+  Instance leader() {
+    return instances.stream()
+        .filter(each -> each.dispatcher.isLeading() && !each.access.killed)
+        .findFirst()
+        .orElseThrow();
+  }
+
+  void advance(long millis) {
+    loop.advance(Duration.ofMillis(millis));
+  }
+
+  void submit(String id, int priority, StepSpecification... steps) {
+    JobSubmission job =
+        new JobSubmission(
+            id,
+            "customer",
+            new QueuePolicy("queue", "service", priority, 2, 3.0, 1_000),
+            loop.millis(),
+            "content",
+            List.of(steps),
+            Recurrence.NONE);
+    submissions.write(new KeyedRecord(LedgerKeys.submission(id), WorkloadCodec.encode(job)));
+  }
+
+  void cancel(String id) {
+    submissions.write(new KeyedRecord(LedgerKeys.cancellation(id), new byte[] {1}));
+  }
+
+  static StepSpecification tasks(int replicas) {
+    return step(replicas, false, TASK);
+  }
+
+  static StepSpecification gang(int replicas) {
+    return step(replicas, true, TASK);
+  }
+
+  static StepSpecification step(int replicas, boolean gang, TaskDemand demand) {
+    return new StepSpecification(
+        replicas, demand, 3_000, List.of(), false, gang, false, "", "", 0, false, false);
+  }
+
+  private final class Feed implements WorkerFeed {
+    private boolean started;
+
+    @Override
+    public void start(RegistrationListener listener) {
+      started = true;
+      workers.registrations().forEach(listener::registered);
+    }
+
+    @Override
+    public void stop() {
+      started = false;
+    }
+
+    @Override
+    public boolean isListed() {
+      return started;
+    }
+  }
+
+  private record Contact(TopicFollower follower) implements Dispatcher.StoreContact {
+    @Override
+    public boolean isListed() {
+      return follower.isListed();
+    }
+
+    @Override
+    public Duration silence() {
+      return follower.silence();
+    }
+  }
+
+  /** Access to the store that ends when the instance is killed. */
+  private static final class KillableStore implements RecordStore {
+    private final RecordStore store;
+    private boolean killed;
+
+    KillableStore(RecordStore store) {
+      this.store = store;
+    }
+
+    @Override
+    public CompletableFuture<AppendOutcome> append(
+        String topic,
+        WriterPosition position,
+        OptionalLong expectedEnd,
+        List<KeyedRecord> records) {
+      return killed
+          ? new CompletableFuture<>()
+          : store.append(topic, position, expectedEnd, records);
+    }
+
+    @Override
+    public CompletableFuture<Slice> read(String topic, long from, Duration wait) {
+      return killed
+          ? CompletableFuture.failedFuture(new IllegalStateException("the instance is cut off"))
+          : store.read(topic, from, wait);
+    }
+
+    @Override
+    public CompletableFuture<Page> newest(String topic, String afterKey) {
+      return killed
+          ? CompletableFuture.failedFuture(new IllegalStateException("the instance is cut off"))
+          : store.newest(topic, afterKey);
+    }
+  }
+
+  /** Access to the workers that ends when the instance is killed. */
+  private record KillableGateway(WorkerGateway gateway, KillableStore access)
+      implements WorkerGateway {
+    @Override
+    public CompletableFuture<OrderAnswer> start(WorkerRegistration worker, StartOrder order) {
+      return access.killed ? new CompletableFuture<>() : gateway.start(worker, order);
+    }
+
+    @Override
+    public CompletableFuture<OrderAnswer> stop(WorkerRegistration worker, StopOrder order) {
+      return access.killed ? new CompletableFuture<>() : gateway.stop(worker, order);
+    }
+
+    @Override
+    public CompletableFuture<HoldAnswer> hold(WorkerRegistration worker, HoldOrder order) {
+      return access.killed ? new CompletableFuture<>() : gateway.hold(worker, order);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/DispatcherTest.java
@@ -0,0 +1,153 @@
+package io.dragonflyturn.internal.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.dragonflyturn.internal.dispatch.DispatchFixture.Instance;
+import io.dragonflyturn.internal.workload.JobPhase;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class DispatcherTest {
+  private final DispatchFixture fixture = new DispatchFixture();
+  private Instance first;
+  private Instance second;
+
+  @BeforeEach
+  void startTwoInstancesWithTwoWorkers() {
+    fixture.workers.add("w1");
+    fixture.workers.add("w2");
+    first = fixture.instance("first");
+    second = fixture.instance("second");
+    fixture.advance(2_500);
+  }
+
+  @Test
+  void should_elect_exactly_one_leader() {
+    assertThat(first.dispatcher.isLeading()).isNotEqualTo(second.dispatcher.isLeading());
+  }
+
+  @Test
+  void should_run_a_job_to_completion_and_show_it_at_every_instance() {
+    fixture.submit("a", 1, DispatchFixture.tasks(3));
+
+    fixture.advance(4_000);
+
+    assertThat(first.phase("a")).isEqualTo(JobPhase.COMPLETED);
+    assertThat(second.phase("a")).isEqualTo(JobPhase.COMPLETED);
+    assertThat(fixture.workers.violations()).isEmpty();
+  }
+
+  @Test
+  void should_start_a_task_within_thirty_milliseconds_of_its_submission() {
+    fixture.submit("a", 0, DispatchFixture.tasks(1));
+
+    fixture.advance(30);
+
+    assertThat(fixture.workers.runningTasks()).containsExactly("a.0.0.0");
+  }
+
+  @Test
+  void should_keep_running_work_when_the_leader_is_killed() {
+    fixture.workers.setWorkMillis(8_000);
+    fixture.submit("a", 1, DispatchFixture.gang(3));
+    fixture.advance(1_000);
+
+    fixture.leader().kill();
+    fixture.advance(12_000);
+
+    assertThat(fixture.leader().phase("a")).isEqualTo(JobPhase.COMPLETED);
+    assertThat(fixture.workers.starts("a.0.0.0")).isEqualTo(1);
+    assertThat(fixture.workers.violations()).isEmpty();
+  }
+
+  @Test
+  void should_move_work_off_a_worker_that_is_cut_off_once_its_lease_has_ended() {
+    fixture.workers.setWorkMillis(5_000);
+    fixture.submit("a", 1, DispatchFixture.tasks(1));
+    fixture.advance(500);
+
+    fixture.workers.cutOff(fixture.workers.workerOf("a.0.0.0"));
+    fixture.advance(20_000);
+
+    assertThat(fixture.leader().phase("a")).isEqualTo(JobPhase.COMPLETED);
+    assertThat(fixture.workers.starts("a.0.0.0")).isEqualTo(2);
+    assertThat(fixture.workers.violations()).isEmpty();
+  }
+
+  @Test
+  void should_not_start_a_task_twice_when_the_answer_to_its_start_is_lost() {
+    fixture.workers.loseStartAnswers(1);
+    fixture.submit("a", 1, DispatchFixture.tasks(1));
+
+    fixture.advance(6_000);
+
+    assertThat(fixture.leader().phase("a")).isEqualTo(JobPhase.COMPLETED);
+    assertThat(fixture.workers.starts("a.0.0.0")).isEqualTo(1);
+  }
+
+  @Test
+  void should_hold_running_work_through_an_outage_of_the_store() {
+    fixture.workers.setWorkMillis(3_000);
+    fixture.submit("a", 1, DispatchFixture.tasks(2));
+    fixture.advance(500);
+
+    fixture.store.setDown(true);
+    fixture.advance(6_000);
+    fixture.store.setDown(false);
+    fixture.advance(3_000);
+
+    assertThat(first.phase("a")).isEqualTo(JobPhase.COMPLETED);
+    assertThat(fixture.workers.starts("a.0.0.0")).isEqualTo(1);
+  }
+
+  @Test
+  void should_start_nothing_again_when_a_leader_that_was_cut_off_comes_back() {
+    fixture.workers.setWorkMillis(6_000);
+    fixture.submit("a", 1, DispatchFixture.tasks(4));
+    fixture.advance(500);
+    Instance earlier = fixture.leader();
+
+    earlier.kill();
+    fixture.advance(4_000);
+    earlier.revive();
+    fixture.advance(8_000);
+
+    assertThat(fixture.leader().phase("a")).isEqualTo(JobPhase.COMPLETED);
+    assertThat(fixture.workers.starts("a.0.0.3")).isEqualTo(1);
+    assertThat(fixture.workers.violations()).isEmpty();
+  }
+
+  @Test
+  void should_stop_all_runs_of_a_cancelled_job() {
+    fixture.workers.setWorkMillis(20_000);
+    fixture.submit("a", 1, DispatchFixture.gang(4));
+    fixture.advance(500);
+
+    fixture.cancel("a");
+    fixture.advance(500);
+
+    assertThat(fixture.workers.runningTasks()).isEmpty();
+    assertThat(first.phase("a")).isEqualTo(JobPhase.CANCELLED);
+  }
+
+  @Test
+  void should_start_nothing_in_a_failure_domain_that_is_out() {
+    fixture.domainsOut.add("north");
+    fixture.submit("a", 0, DispatchFixture.tasks(1));
+
+    fixture.advance(2_000);
+
+    assertThat(fixture.workers.runningTasks()).isEmpty();
+  }
+
+  @Test
+  void should_accept_one_append_when_its_answer_is_lost() {
+    fixture.store.loseAnswers(2);
+    fixture.submit("a", 1, DispatchFixture.tasks(1));
+
+    fixture.advance(6_000);
+
+    assertThat(first.phase("a")).isEqualTo(JobPhase.COMPLETED);
+    assertThat(fixture.workers.starts("a.0.0.0")).isEqualTo(1);
+  }
+}
--- /dev/null
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/FakeRecordStore.java
@@ -0,0 +1,146 @@
+package io.dragonflyturn.internal.dispatch;
+
+import io.dragonflyturn.internal.ledger.AppendOutcome;
+import io.dragonflyturn.internal.ledger.KeyedRecord;
+import io.dragonflyturn.internal.ledger.RecordStore;
+import io.dragonflyturn.internal.ledger.WriterPosition;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/** The store in memory, with epochs, sequences, conditions, outages, and lost answers. */
+final class FakeRecordStore implements RecordStore {
+  private static final long ANSWER_MILLIS = 4;
+
+  private final ManualLoop loop;
+  private final Map<String, List<KeyedRecord>> topics = new HashMap<>();
+  private final Map<String, WriterPosition> positions = new HashMap<>();
+  private final Map<WriterPosition, AppendOutcome> answered = new HashMap<>();
+  private final List<Runnable> waitingReads = new ArrayList<>();
+  private boolean down;
+  private int answersToLose;
+
+  FakeRecordStore(ManualLoop loop) {
+    this.loop = loop;
+  }
+
+  void setDown(boolean next) {
+    down = next;
+  }
+
+  /** Carries out the next appends without an answer. */
+  void loseAnswers(int appends) {
+    answersToLose = appends;
+  }
+
+  List<KeyedRecord> records(String topic) {
+    return topics.computeIfAbsent(topic, name -> new ArrayList<>());
+  }
+
+  @Override
+  public CompletableFuture<AppendOutcome> append(
+      String topic, WriterPosition position, OptionalLong expectedEnd, List<KeyedRecord> records) {
+    CompletableFuture<AppendOutcome> answer = new CompletableFuture<>();
+    loop.schedule(
+        () -> {
+          AppendOutcome outcome =
+              down ? new AppendOutcome.Rejected() : apply(topic, position, expectedEnd, records);
+          if (answersToLose > 0 && !down) {
+            answersToLose--;
+            outcome = new AppendOutcome.Unknown();
+          }
+          answer.complete(outcome);
+          List<Runnable> reads = List.copyOf(waitingReads);
+          waitingReads.clear();
+          reads.forEach(Runnable::run);
+        },
+        ANSWER_MILLIS,
+        TimeUnit.MILLISECONDS);
+    return answer;
+  }
+
+  private AppendOutcome apply(
+      String topic, WriterPosition position, OptionalLong expectedEnd, List<KeyedRecord> records) {
+    List<KeyedRecord> log = records(topic);
+    AppendOutcome earlier = answered.get(position);
+    if (earlier != null) {
+      return earlier;
+    }
+    if (expectedEnd.isPresent() && expectedEnd.getAsLong() != log.size()) {
+      return new AppendOutcome.EndMoved(log.size());
+    }
+    String writer = topic + '/' + position.writer();
+    WriterPosition last = positions.get(writer);
+    if (last != null && position.epoch() < last.epoch()) {
+      return new AppendOutcome.Fenced();
+    }
+    boolean follows =
+        last == null
+            || position.epoch() > last.epoch()
+            || position.sequence() == last.sequence() + 1;
+    if (last != null && !follows) {
+      return new AppendOutcome.OutOfSequence(last.sequence() + 1);
+    }
+    positions.put(writer, position);
+    AppendOutcome stored = new AppendOutcome.Stored(log.size());
+    answered.put(position, stored);
+    log.addAll(records);
+    return stored;
+  }
+
+  @Override
+  public CompletableFuture<Slice> read(String topic, long from, Duration wait) {
+    CompletableFuture<Slice> answer = new CompletableFuture<>();
+    loop.schedule(() -> tryRead(topic, from, answer), ANSWER_MILLIS, TimeUnit.MILLISECONDS);
+    loop.schedule(
+        () -> answer.complete(new Slice(false, List.of())), wait.toMillis(), TimeUnit.MILLISECONDS);
+    return answer;
+  }
+
+  private void tryRead(String topic, long from, CompletableFuture<Slice> answer) {
+    if (answer.isDone()) {
+      return;
+    }
+    List<KeyedRecord> log = records(topic);
+    if (down) {
+      answer.completeExceptionally(new IllegalStateException("the store is down"));
+    } else if (from < log.size()) {
+      answer.complete(new Slice(false, List.copyOf(log.subList((int) from, log.size()))));
+    } else {
+      waitingReads.add(() -> tryRead(topic, from, answer));
+    }
+  }
+
+  @Override
+  public CompletableFuture<Page> newest(String topic, String afterKey) {
+    CompletableFuture<Page> answer = new CompletableFuture<>();
+    loop.schedule(
+        () -> {
+          if (down) {
+            answer.completeExceptionally(new IllegalStateException("the store is down"));
+          } else {
+            answer.complete(page(topic));
+          }
+        },
+        ANSWER_MILLIS,
+        TimeUnit.MILLISECONDS);
+    return answer;
+  }
+
+  private Page page(String topic) {
+    Map<String, KeyedRecord> newest = new LinkedHashMap<>();
+    for (KeyedRecord each : records(topic)) {
+      newest.remove(each.key());
+      if (each.value() != null) {
+        newest.put(each.key(), each);
+      }
+    }
+    return new Page(List.copyOf(newest.values()), false, records(topic).size());
+  }
+}
--- /dev/null
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
@@ -0,0 +1,269 @@
+package io.dragonflyturn.internal.dispatch;
+
+import io.dragonflyturn.internal.fleet.EndKind;
+import io.dragonflyturn.internal.fleet.EndedTask;
+import io.dragonflyturn.internal.fleet.HoldAnswer;
+import io.dragonflyturn.internal.fleet.HoldOrder;
+import io.dragonflyturn.internal.fleet.OrderAnswer;
+import io.dragonflyturn.internal.fleet.OrderAnswer.Reason;
+import io.dragonflyturn.internal.fleet.RunningTask;
+import io.dragonflyturn.internal.fleet.StartOrder;
+import io.dragonflyturn.internal.fleet.StopOrder;
+import io.dragonflyturn.internal.fleet.WorkerGateway;
+import io.dragonflyturn.internal.fleet.WorkerRegistration;
+import io.dragonflyturn.internal.workload.TaskDemand;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
+/** Workers in memory that keep fences, leases, and ends, and that can be cut off. */
+final class FakeWorkers implements WorkerGateway {
+  static final TaskDemand CAPACITY = new TaskDemand(32_000, 65_536, 8);
+
+  private static final long ANSWER_MILLIS = 2;
+
+  private final ManualLoop loop;
+  private final Map<String, Worker> workers = new LinkedHashMap<>();
+  private final Set<String> cutOff = new HashSet<>();
+  private final List<String> violations = new ArrayList<>();
+  private final Map<String, Integer> starts = new HashMap<>();
+  private long workMillis = 3_000;
+  private int answersToLose;
+
+  FakeWorkers(ManualLoop loop) {
+    this.loop = loop;
+  }
+
+  void add(String id) {
+    workers.put(id, new Worker(id));
+  }
+
+  List<WorkerRegistration> registrations() {
+    return workers.keySet().stream().map(this::registration).toList();
+  }
+
+  WorkerRegistration registration(String id) {
+    return new WorkerRegistration(
+        id, 1, "service", id + ":1", "north", List.of("a", "r1"), CAPACITY, false, 0, clock());
+  }
+
+  void setWorkMillis(long millis) {
+    workMillis = millis;
+  }
+
+  /** Cuts a worker off; it runs on under its lease. */
+  void cutOff(String id) {
+    cutOff.add(id);
+  }
+
+  void reconnect(String id) {
+    cutOff.remove(id);
+  }
+
+  /** Carries out the next starts without an answer. */
+  void loseStartAnswers(int count) {
+    answersToLose = count;
+  }
+
+  /** Returns what the workers saw that must never happen. */
+  List<String> violations() {
+    workers.values().forEach(Worker::expire);
+    return violations;
+  }
+
+  int starts(String task) {
+    return starts.getOrDefault(task, 0);
+  }
+
+  Set<String> runningTasks() {
+    Set<String> running = new HashSet<>();
+    for (Worker worker : workers.values()) {
+      worker.expire();
+      running.addAll(worker.running.keySet());
+    }
+    return running;
+  }
+
+  String workerOf(String task) {
+    for (Worker worker : workers.values()) {
+      worker.expire();
+      if (worker.running.containsKey(task)) {
+        return worker.id;
+      }
+    }
+    return "";
+  }
+
+  private Worker worker(String id) {
+    return Objects.requireNonNull(workers.get(id));
+  }
+
+  private long clock() {
+    return loop.millis();
+  }
+
+  @Override
+  public CompletableFuture<OrderAnswer> start(WorkerRegistration worker, StartOrder order) {
+    boolean loses = answersToLose > 0;
+    answersToLose = Math.max(0, answersToLose - 1);
+    CompletableFuture<OrderAnswer> answer = order(worker.id(), target -> target.start(order));
+    return loses ? answer.thenApply(lost -> new OrderAnswer.Unanswered()) : answer;
+  }
+
+  @Override
+  public CompletableFuture<OrderAnswer> stop(WorkerRegistration worker, StopOrder order) {
+    return order(worker.id(), target -> target.stop(order));
+  }
+
+  private CompletableFuture<OrderAnswer> order(String id, Function<Worker, OrderAnswer> action) {
+    CompletableFuture<OrderAnswer> answer = new CompletableFuture<>();
+    if (cutOff.contains(id)) {
+      loop.schedule(
+          () -> answer.complete(new OrderAnswer.Unanswered()), 500, TimeUnit.MILLISECONDS);
+    } else {
+      loop.schedule(
+          () -> answer.complete(action.apply(worker(id))), ANSWER_MILLIS, TimeUnit.MILLISECONDS);
+    }
+    return answer;
+  }
+
+  @Override
+  public CompletableFuture<HoldAnswer> hold(WorkerRegistration worker, HoldOrder order) {
+    CompletableFuture<HoldAnswer> answer = new CompletableFuture<>();
+    if (cutOff.contains(worker.id())) {
+      loop.schedule(
+          () -> answer.complete(new HoldAnswer.Unanswered()),
+          order.waitMillis() + 800,
+          TimeUnit.MILLISECONDS);
+      return answer;
+    }
+    long deadline = loop.millis() + order.waitMillis();
+    loop.schedule(
+        () -> poll(worker(worker.id()), order, deadline, answer),
+        ANSWER_MILLIS,
+        TimeUnit.MILLISECONDS);
+    return answer;
+  }
+
+  private void poll(
+      Worker worker, HoldOrder order, long deadline, CompletableFuture<HoldAnswer> answer) {
+    if (cutOff.contains(worker.id)) {
+      answer.complete(new HoldAnswer.Unanswered());
+      return;
+    }
+    HoldAnswer current = worker.hold(order);
+    boolean waits =
+        current instanceof HoldAnswer.Listing listing
+            && listing.ended().isEmpty()
+            && loop.millis() < deadline;
+    if (waits) {
+      loop.schedule(() -> poll(worker, order, deadline, answer), 10, TimeUnit.MILLISECONDS);
+    } else {
+      answer.complete(current);
+    }
+  }
+
+  /** One worker. */
+  private final class Worker {
+    private final String id;
+    private final Map<String, Run> running = new LinkedHashMap<>();
+    private final Map<String, Integer> lastRuns = new HashMap<>();
+    private final List<EndedTask> ended = new ArrayList<>();
+    private long fence;
+    private long leaseUntil;
+    private long ends;
+
+    Worker(String id) {
+      this.id = id;
+    }
+
+    OrderAnswer start(StartOrder order) {
+      expire();
+      if (order.fence() < fence) {
+        return new OrderAnswer.Refused(Reason.FENCED);
+      }
+      fence = order.fence();
+      leaseUntil = Math.max(leaseUntil, order.leaseUntilMillis());
+      Run present = running.get(order.task());
+      if (present != null && present.number == order.run()) {
+        return new OrderAnswer.Taken(clock());
+      }
+      if (lastRuns.getOrDefault(order.task(), 0) >= order.run()) {
+        return new OrderAnswer.Refused(Reason.OLD_RUN);
+      }
+      if (!workerOf(order.task()).isEmpty()) {
+        violations.add(order.task() + " runs twice");
+      }
+      lastRuns.put(order.task(), order.run());
+      running.put(order.task(), new Run(order.run(), clock() + workMillis));
+      starts.merge(order.task(), 1, Integer::sum);
+      return new OrderAnswer.Taken(clock());
+    }
+
+    OrderAnswer stop(StopOrder order) {
+      expire();
+      if (order.fence() < fence) {
+        return new OrderAnswer.Refused(Reason.FENCED);
+      }
+      fence = order.fence();
+      lastRuns.merge(order.task(), order.run(), Math::max);
+      if (running.containsKey(order.task())) {
+        end(order.task(), EndKind.STOPPED);
+      }
+      return new OrderAnswer.Taken(clock());
+    }
+
+    HoldAnswer hold(HoldOrder order) {
+      expire();
+      if (order.fence() < fence) {
+        return new HoldAnswer.Refused(Reason.FENCED);
+      }
+      fence = order.fence();
+      leaseUntil = Math.max(leaseUntil, order.leaseUntilMillis());
+      ended.removeIf(each -> each.number() <= order.acknowledgedEnd());
+      List<RunningTask> list = new ArrayList<>();
+      running.forEach((task, run) -> list.add(run.listed(task)));
+      return new HoldAnswer.Listing(1, clock(), list, ended);
+    }
+
+    void expire() {
+      for (Map.Entry<String, Run> entry : Map.copyOf(running).entrySet()) {
+        if (entry.getValue().doneMillis <= Math.min(clock(), leaseUntil)) {
+          end(entry.getKey(), EndKind.DONE);
+        } else if (leaseUntil <= clock()) {
+          end(entry.getKey(), EndKind.LAPSED);
+        }
+      }
+    }
+
+    private void end(String task, EndKind kind) {
+      Run run = Objects.requireNonNull(running.remove(task));
+      ends++;
+      ended.add(new EndedTask(ends, task, run.number, kind, ""));
+    }
+  }
+
+  /** One run on a worker. */
+  private final class Run {
+    private final int number;
+    private final long doneMillis;
+
+    Run(int number, long doneMillis) {
+      this.number = number;
+      this.doneMillis = doneMillis;
+    }
+
+    RunningTask listed(String task) {
+      long left = doneMillis - clock();
+      return new RunningTask(task, number, "", (int) Math.max(0, 100 - left * 100 / workMillis));
+    }
+  }
+}
