--- a/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
@@ -521,7 +521,8 @@
         unit.tasks(),
         unit.failedWorkers(),
         runsOfStep,
-        context.now() - unit.waitingSinceMillis());
+        context.now() - unit.waitingSinceMillis(),
+        Patience.of(unit));
   }
 
   private List<WorkerSpace> spaces() {
@@ -548,7 +549,8 @@
               member.unit().key(),
               member.unit().job().priority(),
               member.unit().step().demand(),
-              member.run().isAborting()));
+              member.run().isAborting(),
+              StopLoss.of(member, context.now())));
     }
     WorkerRegistration worker = session.registration();
     return new WorkerSpace(
--- a/src/main/java/io/dragonflyturn/internal/dispatch/Member.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/Member.java
@@ -106,6 +106,11 @@
     return percent;
   }
 
+  /** Returns how long the member has run as far as this leader knows, in milliseconds. */
+  long ranMillis(long nowMillis) {
+    return confirmedMillis == 0 ? 0 : nowMillis - confirmedMillis;
+  }
+
   /** Returns how long the worker has listed no progress, in milliseconds. */
   long stalledMillis(long nowMillis) {
     return state == State.CONFIRMED ? nowMillis - progressMillis : 0;
--- a/src/main/java/io/dragonflyturn/internal/dispatch/PlacementPlanner.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/PlacementPlanner.java
@@ -85,16 +85,16 @@
       return WaitCause.NO_ROOM;
     }
     reclaimed.forEach(space -> space.take(request.step().demand()));
+    if (!request.mayDisplace()) {
+      return WaitCause.NO_ROOM;
+    }
     reclaimed.forEach(space -> stopFor(space, request.priority()));
     return WaitCause.STOPPING_OTHERS;
   }
 
   private void stopFor(Space space, int priority) {
     List<Occupant> victims = new ArrayList<>(space.worker.occupants());
-    victims.sort(
-        Comparator.comparing(Occupant::priority)
-            .reversed()
-            .thenComparing(each -> each.demand().accelerators()));
+    victims.sort(Comparator.comparing(Occupant::priority).reversed().thenComparing(Occupant::loss));
     for (Occupant victim : victims) {
       boolean enough = space.freeWhenLeft().holds(TaskDemand.NONE);
       if (enough) {
@@ -125,20 +125,27 @@
     return fill(request, eligible, room);
   }
 
+  /** Says whether a rack that could hold the unit, were it empty, is worth waiting for. */
   private static boolean waitsForRack(PlacementRequest request, List<Space> candidates) {
     long patience = Math.min(request.step().estimateMillis(), LONGEST_RACK_WAIT_MILLIS);
-    return !candidates.isEmpty() && request.waitedMillis() < patience;
+    return request.waitedMillis() < patience
+        && racks(candidates).stream()
+            .anyMatch(rack -> fill(request, rack, Space::capacity) != null);
   }
 
-  private @Nullable List<Space> fillOneRack(
-      PlacementRequest request, List<Space> eligible, Room room) {
+  private static Collection<List<Space>> racks(List<Space> spaces) {
     Map<String, List<Space>> racks = new LinkedHashMap<>();
-    for (Space space : eligible) {
+    for (Space space : spaces) {
       racks.computeIfAbsent(space.worker.rack(), rack -> new ArrayList<>()).add(space);
     }
+    return racks.values();
+  }
+
+  private @Nullable List<Space> fillOneRack(
+      PlacementRequest request, List<Space> eligible, Room room) {
     List<Space> best = null;
     long bestLeft = Long.MAX_VALUE;
-    for (List<Space> rack : racks.values()) {
+    for (List<Space> rack : racks(eligible)) {
       List<Space> chosen = fill(request, rack, room);
       long left = rack.stream().mapToLong(each -> room.of(each).accelerators()).sum();
       if (chosen != null && left < bestLeft) {
@@ -152,17 +159,19 @@
   /** Returns a worker for each task, fewest workers first; null where not all tasks fit. */
   private static @Nullable List<Space> fill(
       PlacementRequest request, List<Space> candidates, Room room) {
-    record Offer(Space space, int copies, TaskDemand free) {}
+    record Offer(Space space, int copies, TaskDemand free, long loss) {}
 
     List<Offer> offers = new ArrayList<>();
     for (Space space : candidates) {
       int copies = space.copies(request, room.of(space));
       if (copies > 0) {
-        offers.add(new Offer(space, copies, room.of(space)));
+        offers.add(
+            new Offer(space, copies, room.of(space), space.lossFor(request, room.of(space))));
       }
     }
     Comparator<Offer> order =
-        Comparator.comparingInt((Offer offer) -> -Math.min(offer.copies, request.tasks()))
+        Comparator.comparingLong((Offer offer) -> offer.loss / offer.copies)
+            .thenComparingInt(offer -> -Math.min(offer.copies, request.tasks()))
             .thenComparingInt(offer -> offer.free.accelerators())
             .thenComparingLong(offer -> offer.free.processorMillis())
             .thenComparing(offer -> offer.space.id());
@@ -221,6 +230,14 @@
       leaving.add(unit);
     }
 
+    TaskDemand capacity() {
+      TaskDemand sum = worker.free();
+      for (Occupant occupant : worker.occupants()) {
+        sum = sum.plus(occupant.demand());
+      }
+      return sum;
+    }
+
     TaskDemand freeWhenLeft() {
       TaskDemand sum = free;
       for (Occupant occupant : worker.occupants()) {
@@ -238,6 +255,20 @@
       return sum;
     }
 
+    /** Returns the work that is thrown away when the worker makes a room free for a unit. */
+    long lossFor(PlacementRequest request, TaskDemand room) {
+      if (room.equals(free) || room.equals(freeWhenLeft())) {
+        return 0;
+      }
+      long loss = 0;
+      for (Occupant occupant : worker.occupants()) {
+        boolean goes =
+            !leaving.contains(occupant.unit()) && occupant.priority() > request.priority();
+        loss += goes ? occupant.loss() : 0;
+      }
+      return loss;
+    }
+
     boolean serves(PlacementRequest request) {
       StepSpecification step = request.step();
       return worker.service().equals(request.service())
--- a/src/main/java/io/dragonflyturn/internal/dispatch/PlacementRequest.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/PlacementRequest.java
@@ -16,6 +16,7 @@
  * @param avoided workers that failed the unit before
  * @param runsOfStep the runs of the same step on each worker; counted where the step limits them
  * @param waitedMillis how long the unit has been ready, in milliseconds
+ * @param patienceMillis how long the unit can wait before it displaces others, in milliseconds
  */
 record PlacementRequest(
     String unit,
@@ -26,4 +27,10 @@
     int tasks,
     Set<String> avoided,
     Map<String, Integer> runsOfStep,
-    long waitedMillis) {}
+    long waitedMillis,
+    long patienceMillis) {
+  /** Says whether the unit may displace runs of less urgent jobs now. */
+  boolean mayDisplace() {
+    return waitedMillis >= patienceMillis;
+  }
+}
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkerSpace.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerSpace.java
@@ -29,6 +29,7 @@
    * @param priority the priority of its job
    * @param demand what it occupies
    * @param leaving whether it is being stopped
+   * @param loss the work that a stop throws away, in core milliseconds of the whole unit
    */
-  record Occupant(String unit, int priority, TaskDemand demand, boolean leaving) {}
+  record Occupant(String unit, int priority, TaskDemand demand, boolean leaving, long loss) {}
 }
--- a/src/main/java/io/dragonflyturn/internal/ledger/SequencedWriter.java
+++ b/src/main/java/io/dragonflyturn/internal/ledger/SequencedWriter.java
@@ -28,6 +28,9 @@
   private static final int MOST_BYTES = 512 << 10;
   private static final long RETRY_MILLIS = 60;
 
+  /** After so many tries without a known outcome, records that were never sent are given up. */
+  private static final int TRIES_BEFORE_REFUSAL = 2;
+
   private final RecordStore store;
   private final String topic;
   private final String name;
@@ -39,7 +42,7 @@
   private long sequence;
   private @Nullable List<Entry> inFlight;
   private boolean closed;
-  private boolean troubled;
+  private int unknownTries;
 
   /**
    * Creates a writer.
@@ -72,6 +75,10 @@
       result.complete(WriteResult.FENCED);
       return result;
     }
+    if (refusable && unknownTries >= TRIES_BEFORE_REFUSAL) {
+      result.complete(WriteResult.REFUSED);
+      return result;
+    }
     waiting.add(new Entry(entry, result));
     if (inFlight == null) {
       loop.execute(this::send);
@@ -81,7 +88,7 @@
 
   /** Says whether an append has been without a known outcome for at least one try. */
   public boolean isTroubled() {
-    return troubled;
+    return unknownTries > 0;
   }
 
   /** Says whether nothing is waiting or under way. */
@@ -138,7 +145,7 @@
     switch (outcome) {
       case Stored stored -> {
         sequence++;
-        troubled = false;
+        unknownTries = 0;
         finish(batch, WriteResult.STORED);
       }
       case Rejected rejected -> rejected(batch);
@@ -154,7 +161,7 @@
   }
 
   private void rejected(List<Entry> batch) {
-    if (refusable && !troubled) {
+    if (refusable && unknownTries == 0) {
       finish(batch, WriteResult.REFUSED);
     } else {
       retryLater(batch);
@@ -179,10 +186,20 @@
   }
 
   private void retryLater(List<Entry> batch) {
-    troubled = true;
+    unknownTries++;
+    refuseWaiting();
     loop.schedule(() -> append(batch), RETRY_MILLIS, TimeUnit.MILLISECONDS);
   }
 
+  /** Gives up what was never sent, so that its callers can turn to another instance. */
+  private void refuseWaiting() {
+    if (refusable && unknownTries >= TRIES_BEFORE_REFUSAL) {
+      List<Entry> refused = List.copyOf(waiting);
+      waiting.clear();
+      refused.forEach(each -> each.result.complete(WriteResult.REFUSED));
+    }
+  }
+
   private void finish(List<Entry> batch, WriteResult result) {
     inFlight = null;
     batch.forEach(each -> each.result.complete(result));
--- a/src/main/java/io/dragonflyturn/internal/ledger/TopicFollower.java
+++ b/src/main/java/io/dragonflyturn/internal/ledger/TopicFollower.java
@@ -17,7 +17,6 @@
  * <p>Runs on the event loop that it is given; its methods are called there.
  */
 public final class TopicFollower {
-  private static final Duration WAIT = Duration.ofSeconds(5);
   private static final long SHORTEST_RETRY_MILLIS = 100;
   private static final long LONGEST_RETRY_MILLIS = 400;
 
@@ -25,6 +24,7 @@
   private final String topic;
   private final TopicListener listener;
   private final ScheduledExecutorService loop;
+  private final Duration wait;
   private final Supplier<Duration> pause;
   private final InstantSource steady;
   private final EventLog events;
@@ -38,6 +38,7 @@
   /**
    * Creates a follower that does nothing until it is started.
    *
+   * @param wait how long a read waits for a record; a store that is silent longer counts as lost
    * @param pause how long to let records gather between two reads
    */
   public TopicFollower(
@@ -45,6 +46,7 @@
       String topic,
       TopicListener listener,
       ScheduledExecutorService loop,
+      Duration wait,
       Supplier<Duration> pause,
       InstantSource steady,
       EventLog events) {
@@ -52,6 +54,7 @@
     this.topic = topic;
     this.listener = listener;
     this.loop = loop;
+    this.wait = wait;
     this.pause = pause;
     this.steady = steady;
     this.events = events;
@@ -136,7 +139,7 @@
       return;
     }
     store
-        .read(topic, next, WAIT)
+        .read(topic, next, wait)
         .whenCompleteAsync(
             LoggedCallback.of(
                 events, "readAnswered", (slice, failure) -> readAnswered(current, slice, failure)),
--- a/src/test/java/io/dragonflyturn/ArchitectureTest.java
+++ b/src/test/java/io/dragonflyturn/ArchitectureTest.java
@@ -42,6 +42,33 @@
           .resideInAPackage(PACKAGE_ROOT + ".standin..")
           .allowEmptyShould(true);
 
+  @ArchTest
+  static final ArchRule should_keep_the_product_free_of_the_platform =
+      noClasses()
+          .that()
+          .resideOutsideOfPackage(PACKAGE_ROOT + ".platform..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAPackage(PACKAGE_ROOT + ".platform..");
+
+  @ArchTest
+  static final ArchRule should_keep_decisions_about_work_free_of_transports =
+      noClasses()
+          .that()
+          .resideInAnyPackage(
+              PACKAGE_ROOT + ".internal.workload..",
+              PACKAGE_ROOT + ".internal.ledger..",
+              PACKAGE_ROOT + ".internal.fleet..",
+              PACKAGE_ROOT + ".internal.dispatch..",
+              PACKAGE_ROOT + ".internal.intake..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage(
+              "java.net..",
+              "org.eclipse.jetty..",
+              "com.fasterxml..",
+              PACKAGE_ROOT + ".internal.http..");
+
   @ArchTest
   static final ArchRule should_not_start_processes =
       noClasses().should().dependOnClassesThat().belongToAnyOf(ProcessBuilder.class);
--- a/src/test/java/io/dragonflyturn/internal/dispatch/DispatchFixture.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/DispatchFixture.java
@@ -60,7 +60,14 @@
       access = new KillableStore(store);
       TopicFollower follower =
           new TopicFollower(
-              access, LedgerKeys.JOBS_TOPIC, directory, loop, () -> Duration.ZERO, loop, events);
+              access,
+              LedgerKeys.JOBS_TOPIC,
+              directory,
+              loop,
+              Duration.ofSeconds(1),
+              () -> Duration.ZERO,
+              loop,
+              events);
       dispatcher =
           new Dispatcher(
               new DispatchContext(
--- a/src/test/java/io/dragonflyturn/internal/dispatch/PlacementPlannerTest.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/PlacementPlannerTest.java
@@ -57,7 +57,7 @@
   void should_displace_less_urgent_runs_and_keep_their_room_for_the_urgent_unit() {
     StepSpecification urgent = new StepBuilder(WHOLE).gang(1).build();
     StepSpecification later = new StepBuilder(SMALL).build();
-    WorkerSpace busy = occupied("w1", new Occupant("old.0.0.0", 2, WHOLE, false));
+    WorkerSpace busy = occupied("w1", new Occupant("old.0.0.0", 2, WHOLE, false, 0));
 
     PlacementPlan plan =
         PlacementPlanner.plan(
@@ -73,8 +73,8 @@
   @Test
   void should_stop_nothing_further_while_room_is_being_vacated() {
     StepSpecification urgent = new StepBuilder(WHOLE).gang(1).build();
-    WorkerSpace vacating = occupied("w1", new Occupant("old.0.0.0", 2, WHOLE, true));
-    WorkerSpace busy = occupied("w2", new Occupant("other.0.0.0", 2, WHOLE, false));
+    WorkerSpace vacating = occupied("w1", new Occupant("old.0.0.0", 2, WHOLE, true, 0));
+    WorkerSpace busy = occupied("w2", new Occupant("other.0.0.0", 2, WHOLE, false, 0));
 
     PlacementPlan plan =
         PlacementPlanner.plan(List.of(vacating, busy), List.of(gang("urgent.0.0", urgent, 0)));
@@ -86,7 +86,7 @@
   @Test
   void should_never_displace_runs_of_the_same_urgency() {
     StepSpecification step = new StepBuilder(WHOLE).gang(1).build();
-    WorkerSpace busy = occupied("w1", new Occupant("old.0.0", 0, WHOLE, false));
+    WorkerSpace busy = occupied("w1", new Occupant("old.0.0", 0, WHOLE, false, 0));
 
     PlacementPlan plan = PlacementPlanner.plan(List.of(busy), List.of(gang("j.0.0", step, 0)));
 
@@ -107,7 +107,8 @@
   void should_avoid_a_worker_that_failed_the_unit_while_another_is_eligible() {
     StepSpecification step = new StepBuilder(SMALL).build();
     PlacementRequest request =
-        new PlacementRequest("j.0.0.0", "j.0.0", "service", 1, step, 1, Set.of("w1"), Map.of(), 0);
+        new PlacementRequest(
+            "j.0.0.0", "j.0.0", "service", 1, step, 1, Set.of("w1"), Map.of(), 0, 0);
 
     PlacementPlan plan =
         PlacementPlanner.plan(List.of(worker("w1", "r1"), worker("w2", "r1")), List.of(request));
@@ -115,6 +116,46 @@
     assertThat(plan.placed()).containsExactly(new Placed("j.0.0.0", List.of("w2")));
   }
 
+  @Test
+  void should_displace_the_run_that_loses_the_least_work() {
+    StepSpecification urgent = new StepBuilder(WHOLE).gang(1).build();
+    WorkerSpace old = occupied("w1", new Occupant("old.0.0.0", 2, WHOLE, false, 90_000));
+    WorkerSpace young = occupied("w2", new Occupant("young.0.0.0", 2, WHOLE, false, 10));
+
+    PlacementPlan plan =
+        PlacementPlanner.plan(List.of(old, young), List.of(gang("urgent.0.0", urgent, 0)));
+
+    assertThat(plan.stopped()).containsExactly("young.0.0.0");
+  }
+
+  @Test
+  void should_keep_room_without_displacing_while_a_unit_can_still_wait() {
+    StepSpecification large = new StepBuilder(WHOLE).gang(1).build();
+    StepSpecification small = new StepBuilder(SMALL).build();
+    TaskDemand half = new TaskDemand(16_000, 30_000, 4);
+    WorkerSpace busy = occupied("w1", new Occupant("old.0.0.0", 2, half, false, 10));
+    PlacementRequest patient =
+        new PlacementRequest(
+            "large.0.0", "large.0.0", "service", 1, large, 1, Set.of(), Map.of(), 500, 2_000);
+
+    PlacementPlan plan =
+        PlacementPlanner.plan(List.of(busy), List.of(patient, task("small.0.0.0", small)));
+
+    assertThat(plan.stopped()).isEmpty();
+    assertThat(plan.placed()).isEmpty();
+  }
+
+  @Test
+  void should_not_wait_for_a_rack_that_could_never_hold_the_gang() {
+    StepSpecification step = new StepBuilder(WHOLE).gang(2).singleRack().build();
+
+    PlacementPlan plan =
+        PlacementPlanner.plan(
+            List.of(worker("a1", "ra"), worker("b1", "rb")), List.of(gang("j.0.0", step, 0)));
+
+    assertThat(plan.placed()).containsExactly(new Placed("j.0.0", List.of("a1", "b1")));
+  }
+
   private static WorkerSpace worker(String id, String rack) {
     return new WorkerSpace(id, "service", rack, List.of("a", rack), true, WHOLE, List.of());
   }
@@ -126,12 +167,12 @@
 
   private static PlacementRequest task(String key, StepSpecification step) {
     String stepKey = key.substring(0, key.lastIndexOf('.'));
-    return new PlacementRequest(key, stepKey, "service", 1, step, 1, Set.of(), Map.of(), 0);
+    return new PlacementRequest(key, stepKey, "service", 1, step, 1, Set.of(), Map.of(), 0, 0);
   }
 
   private static PlacementRequest gang(String key, StepSpecification step, long waitedMillis) {
     return new PlacementRequest(
-        key, key, "service", 0, step, step.replicas(), Set.of(), Map.of(), waitedMillis);
+        key, key, "service", 0, step, step.replicas(), Set.of(), Map.of(), waitedMillis, 0);
   }
 
   /** Builds a step of tasks that ask for the same. */
