--- a/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
@@ -286,7 +286,7 @@
         .with("sinceReceivedMillis", context.now() - job.receivedMillis())
         .with("term", term)
         .write();
-    writeJobs(new KeyedRecord(LedgerKeys.phase(job.id()), WorkloadCodec.encode(phase)));
+    writeJobs(new KeyedRecord(LedgerKeys.phase(job.id()), WorkloadCodec.encodePhase(phase)));
   }
 
   private void writeJobs(KeyedRecord change) {
--- a/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
@@ -110,7 +110,7 @@
 
   /** Writes a unit's state, and calls back when it is stored. */
   void store(WorkUnit unit, Runnable whenStored) {
-    lastWrite = writer.write(new KeyedRecord(unit.key(), WorkloadCodec.encode(unit.record())));
+    lastWrite = writer.write(new KeyedRecord(unit.key(), WorkloadCodec.encodeRun(unit.record())));
     whenStored(whenStored);
   }
 
@@ -248,16 +248,25 @@
   private void startRefused(Member member, OrderAnswer.Reason reason) {
     logStart(member, reason);
     context.metrics().startsFailed().inc();
-    switch (reason) {
-      case FENCED -> listener.fenced();
-      case OLD_RUN -> {
-        member.confirm(context.now());
-        listener.started(member);
-      }
-      case LATE, NO_ROOM, UNHEALTHY, OTHER_LIFE, MALFORMED -> {
-        trust.refused(member.session().id());
-        resolve(member, EndKind.NOT_STARTED, "");
-      }
+    if (reason == OrderAnswer.Reason.FENCED) {
+      listener.fenced();
+    } else if (reason == OrderAnswer.Reason.OLD_RUN) {
+      member.confirm(context.now());
+      listener.started(member);
+    } else {
+      startHadNoEffect(member, reason);
+    }
+  }
+
+  /** An earlier try without an answer may still arrive; only a stop that is taken rules it out. */
+  private void startHadNoEffect(Member member, OrderAnswer.Reason reason) {
+    trust.refused(member.session().id());
+    boolean earlierTryMayArrive =
+        member.startTries() > 1 && reason != OrderAnswer.Reason.OTHER_LIFE;
+    if (earlierTryMayArrive) {
+      abort(member.run(), "start-refused-after-unanswered");
+    } else {
+      resolve(member, EndKind.NOT_STARTED, "");
     }
   }
 
@@ -332,22 +341,31 @@
       listener.started(member);
       return;
     }
-    if (answer instanceof Refused refused) {
-      switch (refused.reason()) {
-        case FENCED -> {
-          listener.fenced();
-          return;
-        }
-        case OTHER_LIFE -> {
-          resolve(member, EndKind.LOST, "");
-          return;
-        }
-        default -> context.events().event("stop-refused").with("task", member.task()).write();
-      }
+    if (answer instanceof Refused refused && stopRefused(member, refused.reason())) {
+      return;
     }
     context.loop().schedule(() -> sendStop(member), STOP_RETRY_MILLIS, TimeUnit.MILLISECONDS);
   }
 
+  /** Takes the refusal of a stop; returns whether there is nothing left to stop. */
+  private boolean stopRefused(Member member, OrderAnswer.Reason reason) {
+    if (reason == OrderAnswer.Reason.FENCED) {
+      listener.fenced();
+      return true;
+    }
+    if (reason == OrderAnswer.Reason.OTHER_LIFE) {
+      resolve(member, EndKind.LOST, "");
+      return true;
+    }
+    context
+        .events()
+        .event("stop-refused")
+        .with("task", member.task())
+        .with("reason", reason)
+        .write();
+    return false;
+  }
+
   /** Is told of what happens to runs, on the event loop. */
   interface Listener {
     /** A worker may run a member now, so that its session must hold it. */
--- a/src/main/java/io/dragonflyturn/internal/intake/JobDesk.java
+++ b/src/main/java/io/dragonflyturn/internal/intake/JobDesk.java
@@ -77,7 +77,7 @@
 
   /** Cancels a job. */
   public CompletableFuture<CallerAnswer> cancel(CallerRequest request, String id) {
-    return judge(request, call -> cancel(call, id));
+    return judge(request, call -> storeCancellation(call, id));
   }
 
   /** Tells a job's phase. */
@@ -131,14 +131,15 @@
               content.recurrence());
       writing =
           writer.write(
-              new KeyedRecord(LedgerKeys.submission(id), WorkloadCodec.encode(submission)));
+              new KeyedRecord(
+                  LedgerKeys.submission(id), WorkloadCodec.encodeSubmission(submission)));
       submitting.put(id, writing);
       writing.thenAccept(result -> submitting.remove(id));
     }
     return outcome("job", id, call, writing);
   }
 
-  private CompletableFuture<CallerAnswer> cancel(Call call, String id) {
+  private CompletableFuture<CallerAnswer> storeCancellation(Call call, String id) {
     JobEntry entry = directory.job(id);
     if (entry == null) {
       return now(unknownJob());
--- a/src/main/java/io/dragonflyturn/internal/workload/WorkloadCodec.java
+++ b/src/main/java/io/dragonflyturn/internal/workload/WorkloadCodec.java
@@ -14,7 +14,7 @@
   private WorkloadCodec() {}
 
   /** Returns the stored form of a submission. */
-  public static byte[] encode(JobSubmission job) {
+  public static byte[] encodeSubmission(JobSubmission job) {
     return pack(
         packer -> {
           packer.packString(job.id());
@@ -49,7 +49,7 @@
   }
 
   /** Returns the stored form of a run. */
-  public static byte[] encode(RunRecord record) {
+  public static byte[] encodeRun(RunRecord record) {
     return pack(
         packer -> {
           packer.packInt(record.run());
@@ -79,7 +79,7 @@
   }
 
   /** Returns the stored form of a job's phase. */
-  public static byte[] encode(JobPhase phase) {
+  public static byte[] encodePhase(JobPhase phase) {
     return new byte[] {(byte) phase.ordinal()};
   }
 
--- a/src/test/java/io/dragonflyturn/internal/dispatch/DispatchFixture.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/DispatchFixture.java
@@ -131,7 +131,8 @@
             "content",
             List.of(steps),
             Recurrence.NONE);
-    submissions.write(new KeyedRecord(LedgerKeys.submission(id), WorkloadCodec.encode(job)));
+    submissions.write(
+        new KeyedRecord(LedgerKeys.submission(id), WorkloadCodec.encodeSubmission(job)));
   }
 
   void cancel(String id) {
--- a/src/test/java/io/dragonflyturn/internal/dispatch/DispatcherTest.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/DispatcherTest.java
@@ -85,6 +85,17 @@
     assertThat(fixture.workers.starts("a.0.0.0")).isEqualTo(1);
   }
 
+  @Test
+  void should_rule_out_a_start_that_arrives_late_before_the_task_runs_elsewhere() {
+    fixture.workers.delayStart(2_000);
+    fixture.submit("a", 1, DispatchFixture.tasks(1));
+
+    fixture.advance(10_000);
+
+    assertThat(fixture.leader().phase("a")).isEqualTo(JobPhase.COMPLETED);
+    assertThat(fixture.workers.violations()).isEmpty();
+  }
+
   @Test
   void should_hold_running_work_through_an_outage_of_the_store() {
     fixture.workers.setWorkMillis(3_000);
--- a/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
@@ -37,6 +37,8 @@
   private final Map<String, Integer> starts = new HashMap<>();
   private long workMillis = 3_000;
   private int answersToLose;
+  private long delayedStartMillis;
+  private long unhealthyUntilMillis;
 
   FakeWorkers(ManualLoop loop) {
     this.loop = loop;
@@ -68,6 +70,14 @@
     cutOff.remove(id);
   }
 
+  /**
+   * Leaves the next start unanswered and carries it out after a time; a worker refuses the starts
+   * that arrive meanwhile as unhealthy.
+   */
+  void delayStart(long millis) {
+    delayedStartMillis = millis;
+  }
+
   /** Carries out the next starts without an answer. */
   void loseStartAnswers(int count) {
     answersToLose = count;
@@ -112,6 +122,16 @@
 
   @Override
   public CompletableFuture<OrderAnswer> start(WorkerRegistration worker, StartOrder order) {
+    if (delayedStartMillis > 0) {
+      unhealthyUntilMillis = loop.millis() + delayedStartMillis;
+      loop.schedule(
+          () -> worker(worker.id()).start(order), delayedStartMillis, TimeUnit.MILLISECONDS);
+      delayedStartMillis = 0;
+      return CompletableFuture.completedFuture(new OrderAnswer.Unanswered());
+    }
+    if (loop.millis() < unhealthyUntilMillis) {
+      return CompletableFuture.completedFuture(new OrderAnswer.Refused(Reason.UNHEALTHY));
+    }
     boolean loses = answersToLose > 0;
     answersToLose = Math.max(0, answersToLose - 1);
     CompletableFuture<OrderAnswer> answer = order(worker.id(), target -> target.start(order));
