--- a/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
@@ -386,11 +386,26 @@
     if (session.update(registration, context.now())) {
       keeper.kick(session);
     }
+    if (registration.draining() && !wasDraining) {
+      moveOff(session);
+    }
     if (registration.draining() != wasDraining) {
       requestRound();
     }
   }
 
+  /** Stops what a worker that is about to leave cannot finish, so that it goes on elsewhere. */
+  private void moveOff(WorkerSession session) {
+    long now = context.now();
+    long stays = session.registration().drainRemainingMillis();
+    for (Member member : List.copyOf(session.members())) {
+      long margin = member.unit().step().checkpointed() ? 0 : stays;
+      if (!member.unit().isDone() && member.remainingMillis(now) > stays + margin) {
+        driver.abort(member.run(), "worker-drains");
+      }
+    }
+  }
+
   @Override
   public void unlisted(String worker) {
     WorkerSession session = sessions.get(worker);
--- a/src/main/java/io/dragonflyturn/internal/dispatch/Member.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/Member.java
@@ -2,6 +2,11 @@
 
 /** One task of a run on its worker. Times are milliseconds of the steady clock; 0 for not yet. */
 final class Member {
+  private static final int WHOLE_PERCENT = 100;
+
+  /** Progress below this says little about the time that is left. */
+  private static final int LEAST_TELLING_PERCENT = 10;
+
   private final ActiveRun run;
   private final WorkerSession session;
   private final String task;
@@ -111,6 +116,17 @@
     return confirmedMillis == 0 ? 0 : nowMillis - confirmedMillis;
   }
 
+  /**
+   * Returns how long the member will still run, judged by its progress or else by the caller's
+   * estimate, in milliseconds.
+   */
+  long remainingMillis(long nowMillis) {
+    if (percent >= LEAST_TELLING_PERCENT) {
+      return ranMillis(nowMillis) * (WHOLE_PERCENT - percent) / percent;
+    }
+    return Math.max(0, unit().step().estimateMillis() - ranMillis(nowMillis));
+  }
+
   /** Returns how long the worker has listed no progress, in milliseconds. */
   long stalledMillis(long nowMillis) {
     return state == State.CONFIRMED ? nowMillis - progressMillis : 0;
--- a/src/main/java/io/dragonflyturn/internal/dispatch/SessionKeeper.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/SessionKeeper.java
@@ -126,8 +126,7 @@
         silent
             ? HoldOrder.NO_RENEWAL
             : session.grantLease(context.settings().leaseMillis(), askedMillis);
-    boolean waits = !session.members().isEmpty() && !session.hasUnrecordedEnds();
-    HoldOrder order = new HoldOrder(lease, acknowledged, waits ? LONGEST_WAIT_MILLIS : 0, term);
+    HoldOrder order = new HoldOrder(lease, acknowledged, waitMillis(session), term);
     context
         .gateway()
         .hold(session.registration(), order)
@@ -139,6 +138,13 @@
             context.loop());
   }
 
+  /** A list is wanted at once while it is not known what runs. */
+  private static long waitMillis(WorkerSession session) {
+    boolean settled = session.members().stream().noneMatch(each -> each.state() == State.UNCERTAIN);
+    boolean waits = settled && !session.members().isEmpty() && !session.hasUnrecordedEnds();
+    return waits ? LONGEST_WAIT_MILLIS : 0;
+  }
+
   private void answered(
       WorkerSession session, long askedMillis, long acknowledged, HoldAnswer answer) {
     session.setHolding(false);
--- a/src/test/java/io/dragonflyturn/internal/dispatch/DispatchFixture.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/DispatchFixture.java
@@ -135,6 +135,11 @@
         new KeyedRecord(LedgerKeys.submission(id), WorkloadCodec.encodeSubmission(job)));
   }
 
+  /** Lets a worker report that it is about to leave. */
+  void drain(String worker, long staysMillis) {
+    instances.forEach(each -> each.feed.report(workers.draining(worker, staysMillis)));
+  }
+
   void cancel(String id) {
     submissions.write(new KeyedRecord(LedgerKeys.cancellation(id), new byte[] {1}));
   }
@@ -154,10 +159,19 @@
 
   private final class Feed implements WorkerFeed {
     private boolean started;
+    private @Nullable RegistrationListener follower;
+
+    void report(WorkerRegistration registration) {
+      RegistrationListener current = follower;
+      if (started && current != null) {
+        current.registered(registration);
+      }
+    }
 
     @Override
     public void start(RegistrationListener listener) {
       started = true;
+      follower = listener;
       workers.registrations().forEach(listener::registered);
     }
 
--- a/src/test/java/io/dragonflyturn/internal/dispatch/DispatcherTest.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/DispatcherTest.java
@@ -141,6 +141,34 @@
     assertThat(first.phase("a")).isEqualTo(JobPhase.CANCELLED);
   }
 
+  @Test
+  void should_start_what_an_earlier_leader_only_recorded_as_soon_as_a_new_one_leads() {
+    fixture.workers.cutOff("w1");
+    fixture.workers.cutOff("w2");
+    fixture.submit("a", 0, DispatchFixture.tasks(1));
+    fixture.advance(20);
+    fixture.leader().kill();
+    fixture.workers.reconnect("w1");
+    fixture.workers.reconnect("w2");
+
+    fixture.advance(2_600);
+
+    assertThat(fixture.workers.runningTasks()).containsExactly("a.0.0.0");
+  }
+
+  @Test
+  void should_move_a_long_task_off_a_worker_that_drains() {
+    fixture.workers.setWorkMillis(20_000);
+    fixture.submit("a", 1, DispatchFixture.tasks(1));
+    fixture.advance(500);
+    String worker = fixture.workers.workerOf("a.0.0.0");
+
+    fixture.drain(worker, 1_000);
+    fixture.advance(500);
+
+    assertThat(fixture.workers.workerOf("a.0.0.0")).isNotEmpty().isNotEqualTo(worker);
+  }
+
   @Test
   void should_start_nothing_in_a_failure_domain_that_is_out() {
     fixture.domainsOut.add("north");
--- a/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
@@ -57,6 +57,20 @@
         id, 1, "service", id + ":1", "north", List.of("a", "r1"), CAPACITY, false, 0, clock());
   }
 
+  WorkerRegistration draining(String id, long staysMillis) {
+    return new WorkerRegistration(
+        id,
+        1,
+        "service",
+        id + ":1",
+        "north",
+        List.of("a", "r1"),
+        CAPACITY,
+        true,
+        staysMillis,
+        clock());
+  }
+
   void setWorkMillis(long millis) {
     workMillis = millis;
   }
