--- /dev/null
+++ b/src/test/java/io/dragonflyturn/internal/intake/JobDeskTest.java
@@ -0,0 +1,195 @@
+package io.dragonflyturn.internal.intake;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.dragonflyturn.internal.dispatch.Dispatcher.StoreContact;
+import io.dragonflyturn.internal.dispatch.JobDirectory;
+import io.dragonflyturn.internal.dispatch.LedgerKeys;
+import io.dragonflyturn.internal.ledger.AppendOutcome;
+import io.dragonflyturn.internal.ledger.KeyedRecord;
+import io.dragonflyturn.internal.ledger.RecordStore;
+import io.dragonflyturn.internal.ledger.SequencedWriter;
+import io.dragonflyturn.internal.ledger.WriterPosition;
+import io.dragonflyturn.internal.logging.EventLog;
+import io.dragonflyturn.internal.workload.JobPhase;
+import io.dragonflyturn.internal.workload.JobSubmission;
+import io.dragonflyturn.internal.workload.QueuePolicy;
+import io.dragonflyturn.internal.workload.Recurrence;
+import io.dragonflyturn.internal.workload.StepSpecification;
+import io.dragonflyturn.internal.workload.TaskDemand;
+import io.dragonflyturn.internal.workload.WorkloadCodec;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class JobDeskTest {
+  private static final QueuePolicy POLICY = new QueuePolicy("queue", "service", 1, 2, 3, 1_000);
+  private static final JobContent CONTENT =
+      new JobContent(
+          "content",
+          List.of(
+              new StepSpecification(
+                  1, TaskDemand.NONE, 10, List.of(), false, false, false, "", "", 0, false, false)),
+          Recurrence.NONE);
+  private static final String ID = "00000000000000aa";
+
+  private final ScheduledThreadPoolExecutor loop = new ScheduledThreadPoolExecutor(1);
+  private final EventLog events =
+      new EventLog(
+          new PrintStream(OutputStream.nullOutputStream()), InstantSource.system(), "test");
+  private final JobDirectory directory = new JobDirectory(InstantSource.system(), events);
+  private final Store store = new Store();
+  private Duration silence = Duration.ZERO;
+
+  @AfterEach
+  void stopLoop() {
+    loop.shutdownNow();
+  }
+
+  @Test
+  void should_accept_a_job_once_it_is_stored() throws Exception {
+    store.outcome = new AppendOutcome.Stored(0);
+
+    assertThat(submit("key")).isEqualTo(new CallerAnswer.Accepted());
+  }
+
+  @Test
+  void should_refuse_a_job_that_the_store_rejected() throws Exception {
+    store.outcome = new AppendOutcome.Rejected();
+
+    assertThat(submit("key")).isInstanceOf(CallerAnswer.Unavailable.class);
+  }
+
+  @Test
+  void should_not_say_that_a_job_was_refused_when_it_may_be_stored() throws Exception {
+    store.outcome = new AppendOutcome.Unknown();
+
+    assertThat(submit("key")).isEqualTo(new CallerAnswer.OutcomeUnknown());
+  }
+
+  @Test
+  void should_refuse_at_once_while_the_store_is_silent() throws Exception {
+    silence = Duration.ofSeconds(2);
+
+    assertThat(submit("key")).isInstanceOf(CallerAnswer.Unavailable.class);
+    assertThat(store.appends).isZero();
+  }
+
+  @Test
+  void should_know_no_caller_without_a_key() throws Exception {
+    assertThat(submit("other")).isEqualTo(new CallerAnswer.UnknownKey());
+  }
+
+  @Test
+  void should_join_a_job_that_is_known() throws Exception {
+    know();
+
+    assertThat(submit("key")).isEqualTo(new CallerAnswer.Accepted());
+    assertThat(store.appends).isZero();
+  }
+
+  @Test
+  void should_tell_the_phase_of_a_job() throws Exception {
+    know();
+
+    CallerAnswer answer = ask(desk -> desk.phase(request("key"), ID));
+
+    assertThat(answer).isEqualTo(new CallerAnswer.Phase(JobPhase.QUEUED));
+  }
+
+  @Test
+  void should_not_say_that_a_job_does_not_exist_while_records_may_be_missing() throws Exception {
+    silence = Duration.ofSeconds(2);
+
+    CallerAnswer answer = ask(desk -> desk.phase(request("key"), ID));
+
+    assertThat(answer).isInstanceOf(CallerAnswer.Unavailable.class);
+  }
+
+  private void know() {
+    directory.apply(
+        new KeyedRecord(
+            LedgerKeys.submission(ID),
+            WorkloadCodec.encodeSubmission(
+                new JobSubmission(
+                    ID, "customer", POLICY, 0, "content", CONTENT.steps(), Recurrence.NONE))));
+  }
+
+  private CallerAnswer submit(String key) throws Exception {
+    return ask(desk -> desk.submit(request(key), ID, CONTENT));
+  }
+
+  private CallerAnswer ask(Question question) throws Exception {
+    CompletableFuture<CallerAnswer> answer =
+        loop.submit(() -> question.ask(desk())).get(5, TimeUnit.SECONDS);
+    return answer.get(5, TimeUnit.SECONDS);
+  }
+
+  private static CallerRequest request(String key) {
+    return new CallerRequest("host", "/jobs/" + ID, key, 400);
+  }
+
+  private JobDesk desk() {
+    CallerConfiguration configuration =
+        new CallerConfiguration(
+            1,
+            List.of(new CallerQueue("host", "/jobs/", false, POLICY)),
+            Map.of("key", "customer"));
+    StoreContact contact =
+        new StoreContact() {
+          @Override
+          public boolean isListed() {
+            return true;
+          }
+
+          @Override
+          public Duration silence() {
+            return silence;
+          }
+        };
+    return new JobDesk(
+        () -> configuration,
+        directory,
+        new SequencedWriter(store, "topic", "entry", 1, 1, true, loop, events),
+        contact,
+        loop,
+        InstantSource.system(),
+        events);
+  }
+
+  private interface Question {
+    CompletableFuture<CallerAnswer> ask(JobDesk desk);
+  }
+
+  /** Gives every append the same outcome. */
+  private static final class Store implements RecordStore {
+    private AppendOutcome outcome = new AppendOutcome.Rejected();
+    private int appends;
+
+    @Override
+    public CompletableFuture<AppendOutcome> append(
+        String topic, WriterPosition position, OptionalLong end, List<KeyedRecord> records) {
+      appends++;
+      return CompletableFuture.completedFuture(outcome);
+    }
+
+    @Override
+    public CompletableFuture<Slice> read(String topic, long from, Duration wait) {
+      return new CompletableFuture<>();
+    }
+
+    @Override
+    public CompletableFuture<Page> newest(String topic, String afterKey) {
+      return new CompletableFuture<>();
+    }
+  }
+}
