Reclaim guaranteed accelerators from urgent jobs of other customers, and split the leader's term

Change: ranks before priorities; endless tasks are displaced for nothing and never count as stalled; StoredRuns, WorkerFleet, and PlanningRound leave LeaderTerm. Tests: two of DispatcherTest; the first failed before.

--- a/src/main/java/io/dragonflyturn/internal/dispatch/DispatchContext.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/DispatchContext.java
@@ -14,6 +14,7 @@
  * @param gateway gives orders to workers
  * @param feed follows the workers' reports
  * @param rules what operators decided about failure domains
+ * @param guarantees what the configuration guarantees to customers
  * @param directory all jobs
  * @param loop the event loop, on which everything runs
  * @param steady a clock that never goes back
@@ -28,6 +29,7 @@
     WorkerGateway gateway,
     WorkerFeed feed,
     DomainRules rules,
+    CustomerGuarantees guarantees,
     JobDirectory directory,
     ScheduledExecutorService loop,
     InstantSource steady,
--- a/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
@@ -1,36 +1,25 @@
 package io.dragonflyturn.internal.dispatch;
 
 import io.dragonflyturn.internal.dispatch.PlacementPlan.Placed;
-import io.dragonflyturn.internal.fleet.RegistrationListener;
-import io.dragonflyturn.internal.fleet.WorkerRegistration;
 import io.dragonflyturn.internal.ledger.KeyedRecord;
-import io.dragonflyturn.internal.ledger.RecordStore;
 import io.dragonflyturn.internal.ledger.SequencedWriter;
 import io.dragonflyturn.internal.ledger.WriteResult;
-import io.dragonflyturn.internal.logging.LoggedCallback;
 import io.dragonflyturn.internal.workload.JobPhase;
 import io.dragonflyturn.internal.workload.RunRecord;
-import io.dragonflyturn.internal.workload.TaskDemand;
 import io.dragonflyturn.internal.workload.WorkloadCodec;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
 /**
  * What one instance does while it leads: takes over what is stored, places work, and follows it to
  * its end. A later term begins with a new object.
  */
-final class LeaderTerm implements RunDriver.Listener, RegistrationListener {
+final class LeaderTerm implements RunDriver.Listener {
   private static final long BEAT_MILLIS = 500;
-  private static final long RELOAD_MILLIS = 100;
-
-  /** How long an earlier leader may go on to renew leases after it lost the lead. */
-  private static final long EARLIER_LEADER_MILLIS = 2_500;
 
   /** How long an ended job can be asked for, in milliseconds. */
   private static final long KEEP_ENDED_MILLIS = 300_000;
@@ -43,9 +32,10 @@
   private final WorkerTrust trust;
   private final RunDriver driver;
   private final SessionKeeper keeper;
-  private final Map<String, WorkerSession> sessions = new LinkedHashMap<>();
+  private final WorkerFleet fleet;
   private final Map<String, ActiveJob> jobs = new LinkedHashMap<>();
-  private @Nullable Map<String, RunRecord> storedRuns;
+  private final StoredRuns storedRuns;
+  private @Nullable Map<String, RunRecord> loadedRuns;
   private boolean ready;
   private boolean closed;
   private boolean roundRequested;
@@ -64,6 +54,8 @@
     trust = new WorkerTrust(context.steady());
     driver = new RunDriver(context, term, runsWriter, trust, this);
     keeper = new SessionKeeper(context, term, driver, trust, this);
+    fleet = new WorkerFleet(context, driver, keeper, this::requestRound);
+    storedRuns = new StoredRuns(context, this::loaded);
   }
 
   private SequencedWriter writer(String topic, long sequence) {
@@ -86,12 +78,12 @@
         .thenAccept(
             result -> {
               if (result == WriteResult.STORED) {
-                load("", new HashMap<>());
+                storedRuns.start();
               } else {
                 fenced();
               }
             });
-    context.feed().start(this);
+    context.feed().start(fleet);
   }
 
   /** Stops without giving anything up; what runs goes on under its leases. */
@@ -99,6 +91,7 @@
     closed = true;
     driver.close();
     keeper.close();
+    storedRuns.close();
     jobsWriter.close();
     runsWriter.close();
     context.feed().stop();
@@ -116,45 +109,13 @@
     return ready;
   }
 
-  private void load(String after, Map<String, RunRecord> gathered) {
-    if (closed) {
-      return;
-    }
-    context
-        .store()
-        .newest(LedgerKeys.RUNS_TOPIC, after)
-        .whenCompleteAsync(
-            LoggedCallback.of(
-                context.events(), "loaded", (page, failure) -> loaded(gathered, page)),
-            context.loop());
-  }
-
-  private void loaded(Map<String, RunRecord> gathered, RecordStore.@Nullable Page page) {
-    if (closed) {
-      return;
-    }
-    if (page == null) {
-      context
-          .loop()
-          .schedule(() -> load("", new HashMap<>()), RELOAD_MILLIS, TimeUnit.MILLISECONDS);
-      return;
-    }
-    for (KeyedRecord stored : page.records()) {
-      byte @Nullable [] value = stored.value();
-      if (value != null && !stored.key().equals(LedgerKeys.LEADER)) {
-        gathered.put(stored.key(), WorkloadCodec.decodeRun(value));
-      }
-    }
-    if (page.more() && !page.records().isEmpty()) {
-      load(page.records().getLast().key(), gathered);
-      return;
-    }
-    storedRuns = gathered;
+  private void loaded(Map<String, RunRecord> runs) {
+    loadedRuns = runs;
     beginIfLoaded();
   }
 
   private void beginIfLoaded() {
-    Map<String, RunRecord> runs = storedRuns;
+    Map<String, RunRecord> runs = loadedRuns;
     if (ready || closed || runs == null || !context.feed().isListed()) {
       return;
     }
@@ -169,10 +130,10 @@
         .with("term", term)
         .with("jobs", jobs.size())
         .with("runs", runs.size())
-        .with("workers", sessions.size())
+        .with("workers", fleet.sessions().size())
         .with("tookMillis", context.now() - startedMillis)
         .write();
-    sessions.values().forEach(keeper::kick);
+    fleet.kickAll();
     requestRound();
   }
 
@@ -198,7 +159,7 @@
       return;
     }
     if (stored.phase() == RunRecord.Phase.PLACED) {
-      driver.adopt(unit, stored.members().stream().map(this::adoptedSession).toList());
+      driver.adopt(unit, stored.members().stream().map(fleet::adopt).toList());
     }
   }
 
@@ -214,40 +175,12 @@
     return job;
   }
 
-  private WorkerSession adoptedSession(RunRecord.Placement placement) {
-    WorkerSession session = sessions.get(placement.worker());
-    if (session == null) {
-      session = new WorkerSession(absent(placement), context.now());
-      session.unlist();
-      sessions.put(placement.worker(), session);
-    }
-    session.extendLeaseBound(
-        context.now() + EARLIER_LEADER_MILLIS + context.settings().leaseMillis());
-    return session;
-  }
-
-  private static WorkerRegistration absent(RunRecord.Placement placement) {
-    return new WorkerRegistration(
-        placement.worker(),
-        placement.bornMillis(),
-        "",
-        "",
-        "",
-        List.of(),
-        TaskDemand.NONE,
-        true,
-        0,
-        0);
-  }
-
   private void endIfCancelled(ActiveJob job) {
     if (job.entry().isCancelled() || job.isEnding()) {
       stopJob(job, "job-cancelled");
     }
   }
 
-  // Jobs.
-
   void submitted(JobEntry entry) {
     if (ready) {
       activate(entry);
@@ -333,8 +266,6 @@
         && unit.failures() >= unit.job().submission().queue().maximumAttempts();
   }
 
-  // Runs.
-
   @Override
   public void started(Member member) {
     if (member.state() == Member.State.CONFIRMED) {
@@ -372,62 +303,13 @@
     }
   }
 
-  // Workers.
-
-  @Override
-  public void registered(WorkerRegistration registration) {
-    WorkerSession session = sessions.get(registration.id());
-    if (session == null) {
-      sessions.put(registration.id(), new WorkerSession(registration, context.now()));
-      requestRound();
-      return;
-    }
-    boolean wasDraining = session.registration().draining();
-    if (session.update(registration, context.now())) {
-      keeper.kick(session);
-    }
-    if (registration.draining() && !wasDraining) {
-      moveOff(session);
-    }
-    if (registration.draining() != wasDraining) {
-      requestRound();
-    }
-  }
-
-  /** Stops what a worker that is about to leave cannot finish, so that it goes on elsewhere. */
-  private void moveOff(WorkerSession session) {
-    long now = context.now();
-    long stays = session.registration().drainRemainingMillis();
-    for (Member member : List.copyOf(session.members())) {
-      long margin = member.unit().step().checkpointed() ? 0 : stays;
-      if (!member.unit().isDone() && member.remainingMillis(now) > stays + margin) {
-        driver.abort(member.run(), "worker-drains");
-      }
-    }
-  }
-
-  @Override
-  public void unlisted(String worker) {
-    WorkerSession session = sessions.get(worker);
-    if (session != null) {
-      session.unlist();
-    }
-  }
-
-  // Rounds.
-
   void tick() {
     beginIfLoaded();
     beat();
     if (!ready) {
       return;
     }
-    for (WorkerSession session : List.copyOf(sessions.values())) {
-      keeper.tick(session);
-      if (!session.isListed() && session.members().isEmpty()) {
-        sessions.remove(session.id());
-      }
-    }
+    fleet.tick();
     requestRound();
   }
 
@@ -468,12 +350,12 @@
     if (closed) {
       return;
     }
-    Map<String, WorkUnit> waiting = waitingUnits();
+    PlanningRound round = new PlanningRound(context, fleet.sessions(), jobs.values(), trust);
+    Map<String, WorkUnit> waiting = round.waitingUnits();
     if (waiting.isEmpty() || runsWriter.isTroubled()) {
       return;
     }
-    List<PlacementRequest> requests = waiting.values().stream().map(this::request).toList();
-    PlacementPlan plan = PlacementPlanner.plan(spaces(), requests);
+    PlacementPlan plan = round.plan(waiting.values());
     for (Placed placed : plan.placed()) {
       begin(waiting.get(placed.unit()), placed.workers());
     }
@@ -483,7 +365,7 @@
   private void begin(@Nullable WorkUnit unit, List<String> workers) {
     List<WorkerSession> places = new ArrayList<>();
     for (String worker : workers) {
-      WorkerSession session = sessions.get(worker);
+      WorkerSession session = fleet.sessions().get(worker);
       if (session != null) {
         places.add(session);
       }
@@ -494,7 +376,7 @@
   }
 
   private void displace(String key) {
-    for (WorkerSession session : sessions.values()) {
+    for (WorkerSession session : fleet.sessions().values()) {
       for (Member member : List.copyOf(session.members())) {
         if (member.unit().key().equals(key)) {
           driver.abort(member.run(), "displaced");
@@ -503,78 +385,4 @@
       }
     }
   }
-
-  private Map<String, WorkUnit> waitingUnits() {
-    List<WorkUnit> ready = new ArrayList<>();
-    long timeOfDay = context.timeOfDay().millis();
-    for (ActiveJob job : jobs.values()) {
-      job.openDue(timeOfDay);
-      ready.addAll(job.readyUnits());
-    }
-    ready.sort(WaitingOrder.INSTANCE);
-    Map<String, WorkUnit> waiting = new LinkedHashMap<>();
-    for (WorkUnit unit : ready) {
-      unit.waitFrom(context.now());
-      waiting.put(unit.key(), unit);
-    }
-    return waiting;
-  }
-
-  private PlacementRequest request(WorkUnit unit) {
-    Map<String, Integer> runsOfStep = new HashMap<>();
-    if (unit.step().maximumPerWorker() > 0) {
-      for (String worker : sessions.keySet()) {
-        runsOfStep.put(worker, unit.job().runsOn(worker, unit.occurrence(), unit.stepIndex()));
-      }
-    }
-    return new PlacementRequest(
-        unit.key(),
-        unit.stepKey(),
-        unit.job().submission().queue().service(),
-        unit.job().priority(),
-        unit.step(),
-        unit.tasks(),
-        unit.failedWorkers(),
-        runsOfStep,
-        context.now() - unit.waitingSinceMillis(),
-        Patience.of(unit));
-  }
-
-  private List<WorkerSpace> spaces() {
-    List<WorkerSpace> spaces = new ArrayList<>();
-    for (WorkerSession session : sessions.values()) {
-      WorkerRegistration worker = session.registration();
-      boolean usable =
-          session.isListed()
-              && !worker.draining()
-              && session.silentHolds() == 0
-              && !context.rules().isOut(worker.failureDomain());
-      if (usable) {
-        spaces.add(space(session));
-      }
-    }
-    return spaces;
-  }
-
-  private WorkerSpace space(WorkerSession session) {
-    List<WorkerSpace.Occupant> occupants = new ArrayList<>();
-    for (Member member : session.members()) {
-      occupants.add(
-          new WorkerSpace.Occupant(
-              member.unit().key(),
-              member.unit().job().priority(),
-              member.unit().step().demand(),
-              member.run().isAborting(),
-              StopLoss.of(member, context.now())));
-    }
-    WorkerRegistration worker = session.registration();
-    return new WorkerSpace(
-        worker.id(),
-        worker.service(),
-        worker.rack(),
-        worker.labels(),
-        trust.isTrusted(worker.id()),
-        session.free(),
-        occupants);
-  }
 }
--- /dev/null
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/PlanningRound.java
@@ -0,0 +1,125 @@
+package io.dragonflyturn.internal.dispatch;
+
+import io.dragonflyturn.internal.fleet.WorkerRegistration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Shows the planner the waiting units and the workers as they are at one moment. */
+final class PlanningRound {
+  /** A stop of a run of the most urgent jobs counts so many times its work. */
+  private static final long URGENT_LOSS_FACTOR = 8;
+
+  private final DispatchContext context;
+  private final Map<String, WorkerSession> sessions;
+  private final Collection<ActiveJob> jobs;
+  private final WorkerTrust trust;
+  private final UrgencyRanks ranks;
+
+  PlanningRound(
+      DispatchContext context,
+      Map<String, WorkerSession> sessions,
+      Collection<ActiveJob> jobs,
+      WorkerTrust trust) {
+    this.context = context;
+    this.sessions = sessions;
+    this.jobs = jobs;
+    this.trust = trust;
+    this.ranks = new UrgencyRanks(jobs, context.guarantees());
+  }
+
+  /** Returns the units that wait for places, in the order in which they are served. */
+  Map<String, WorkUnit> waitingUnits() {
+    List<WorkUnit> ready = new ArrayList<>();
+    long timeOfDay = context.timeOfDay().millis();
+    for (ActiveJob job : jobs) {
+      job.openDue(timeOfDay);
+      ready.addAll(job.readyUnits());
+    }
+    ready.sort(
+        Comparator.comparingInt((WorkUnit unit) -> ranks.of(unit.job()))
+            .thenComparingLong(unit -> unit.job().submission().acceptedMillis()));
+    Map<String, WorkUnit> waiting = new LinkedHashMap<>();
+    for (WorkUnit unit : ready) {
+      unit.waitFrom(context.now());
+      waiting.put(unit.key(), unit);
+    }
+    return waiting;
+  }
+
+  /** Plans places for waiting units. */
+  PlacementPlan plan(Collection<WorkUnit> waiting) {
+    return PlacementPlanner.plan(spaces(), waiting.stream().map(this::request).toList());
+  }
+
+  private PlacementRequest request(WorkUnit unit) {
+    return new PlacementRequest(
+        unit.key(),
+        unit.stepKey(),
+        unit.job().submission().queue().service(),
+        ranks.of(unit.job()),
+        unit.step(),
+        unit.tasks(),
+        unit.failedWorkers(),
+        runsOfStep(unit),
+        context.now() - unit.waitingSinceMillis(),
+        Patience.of(unit));
+  }
+
+  private Map<String, Integer> runsOfStep(WorkUnit unit) {
+    Map<String, Integer> runs = new HashMap<>();
+    if (unit.step().maximumPerWorker() > 0) {
+      for (String worker : sessions.keySet()) {
+        runs.put(worker, unit.job().runsOn(worker, unit.occurrence(), unit.stepIndex()));
+      }
+    }
+    return runs;
+  }
+
+  private List<WorkerSpace> spaces() {
+    List<WorkerSpace> spaces = new ArrayList<>();
+    for (WorkerSession session : sessions.values()) {
+      WorkerRegistration worker = session.registration();
+      boolean usable =
+          session.isListed()
+              && !worker.draining()
+              && session.silentHolds() == 0
+              && !context.rules().isOut(worker.failureDomain());
+      if (usable) {
+        spaces.add(space(session));
+      }
+    }
+    return spaces;
+  }
+
+  private WorkerSpace space(WorkerSession session) {
+    List<WorkerSpace.Occupant> occupants = new ArrayList<>();
+    for (Member member : session.members()) {
+      occupants.add(occupant(member));
+    }
+    WorkerRegistration worker = session.registration();
+    return new WorkerSpace(
+        worker.id(),
+        worker.service(),
+        worker.rack(),
+        worker.labels(),
+        trust.isTrusted(worker.id()),
+        session.free(),
+        occupants);
+  }
+
+  private WorkerSpace.Occupant occupant(Member member) {
+    int rank = ranks.of(member.unit().job());
+    long loss = StopLoss.of(member, context.now());
+    return new WorkerSpace.Occupant(
+        member.unit().key(),
+        member.unit().step().endless() ? UrgencyRanks.NEVER_DISPLACED : rank,
+        member.unit().step().demand(),
+        member.run().isAborting(),
+        rank <= UrgencyRanks.URGENT ? loss * URGENT_LOSS_FACTOR : loss);
+  }
+}
--- a/src/main/java/io/dragonflyturn/internal/dispatch/SessionKeeper.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/SessionKeeper.java
@@ -93,7 +93,8 @@
     ActiveRun run = member.run();
     boolean waitsForOthers =
         run.members().stream().anyMatch(each -> each.state() != State.CONFIRMED);
-    if (run.isAborting() || run.unit().isDone() || waitsForOthers) {
+    boolean hasNoProgress = run.unit().step().endless();
+    if (run.isAborting() || run.unit().isDone() || waitsForOthers || hasNoProgress) {
       return;
     }
     trust.stalled(member.session().id());
--- /dev/null
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/StoredRuns.java
@@ -0,0 +1,71 @@
+package io.dragonflyturn.internal.dispatch;
+
+import io.dragonflyturn.internal.ledger.KeyedRecord;
+import io.dragonflyturn.internal.ledger.RecordStore;
+import io.dragonflyturn.internal.logging.LoggedCallback;
+import io.dragonflyturn.internal.workload.RunRecord;
+import io.dragonflyturn.internal.workload.WorkloadCodec;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Loads all runs page by page, from the beginning again after a failure. Pages make one state since
+ * the topic is fenced before.
+ */
+final class StoredRuns {
+  private static final long RETRY_MILLIS = 100;
+
+  private final DispatchContext context;
+  private final Consumer<Map<String, RunRecord>> whenLoaded;
+  private boolean closed;
+
+  StoredRuns(DispatchContext context, Consumer<Map<String, RunRecord>> whenLoaded) {
+    this.context = context;
+    this.whenLoaded = whenLoaded;
+  }
+
+  void start() {
+    loadAfter("", new HashMap<>());
+  }
+
+  void close() {
+    closed = true;
+  }
+
+  private void loadAfter(String after, Map<String, RunRecord> gathered) {
+    if (closed) {
+      return;
+    }
+    context
+        .store()
+        .newest(LedgerKeys.RUNS_TOPIC, after)
+        .whenCompleteAsync(
+            LoggedCallback.of(
+                context.events(), "loaded", (page, failure) -> loaded(gathered, page)),
+            context.loop());
+  }
+
+  private void loaded(Map<String, RunRecord> gathered, RecordStore.@Nullable Page page) {
+    if (closed) {
+      return;
+    }
+    if (page == null) {
+      context.loop().schedule(this::start, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+      return;
+    }
+    for (KeyedRecord stored : page.records()) {
+      byte @Nullable [] value = stored.value();
+      if (value != null && !stored.key().equals(LedgerKeys.LEADER)) {
+        gathered.put(stored.key(), WorkloadCodec.decodeRun(value));
+      }
+    }
+    if (page.more() && !page.records().isEmpty()) {
+      loadAfter(page.records().getLast().key(), gathered);
+    } else {
+      whenLoaded.accept(gathered);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerFleet.java
@@ -0,0 +1,115 @@
+package io.dragonflyturn.internal.dispatch;
+
+import io.dragonflyturn.internal.fleet.RegistrationListener;
+import io.dragonflyturn.internal.fleet.WorkerRegistration;
+import io.dragonflyturn.internal.workload.RunRecord;
+import io.dragonflyturn.internal.workload.TaskDemand;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The sessions of all workers that are listed, or on which a run may exist. */
+final class WorkerFleet implements RegistrationListener {
+  /** How long an earlier leader may go on to renew leases after it lost the lead. */
+  private static final long EARLIER_LEADER_MILLIS = 2_500;
+
+  private final DispatchContext context;
+  private final RunDriver driver;
+  private final SessionKeeper keeper;
+  private final Runnable requestRound;
+  private final Map<String, WorkerSession> sessions = new LinkedHashMap<>();
+
+  WorkerFleet(
+      DispatchContext context, RunDriver driver, SessionKeeper keeper, Runnable requestRound) {
+    this.context = context;
+    this.driver = driver;
+    this.keeper = keeper;
+    this.requestRound = requestRound;
+  }
+
+  Map<String, WorkerSession> sessions() {
+    return sessions;
+  }
+
+  /** Asks every worker with runs what runs there. */
+  void kickAll() {
+    sessions.values().forEach(keeper::kick);
+  }
+
+  /** Settles what has become certain with time, and forgets workers that are gone. */
+  void tick() {
+    for (WorkerSession session : List.copyOf(sessions.values())) {
+      keeper.tick(session);
+      if (!session.isListed() && session.members().isEmpty()) {
+        sessions.remove(session.id());
+      }
+    }
+  }
+
+  /** Returns the session of a worker on which an earlier leader placed a run. */
+  WorkerSession adopt(RunRecord.Placement placement) {
+    WorkerSession session = sessions.get(placement.worker());
+    if (session == null) {
+      session = new WorkerSession(absent(placement), context.now());
+      session.unlist();
+      sessions.put(placement.worker(), session);
+    }
+    session.extendLeaseBound(
+        context.now() + EARLIER_LEADER_MILLIS + context.settings().leaseMillis());
+    return session;
+  }
+
+  private static WorkerRegistration absent(RunRecord.Placement placement) {
+    return new WorkerRegistration(
+        placement.worker(),
+        placement.bornMillis(),
+        "",
+        "",
+        "",
+        List.of(),
+        TaskDemand.NONE,
+        true,
+        0,
+        0);
+  }
+
+  @Override
+  public void registered(WorkerRegistration registration) {
+    WorkerSession session = sessions.get(registration.id());
+    if (session == null) {
+      sessions.put(registration.id(), new WorkerSession(registration, context.now()));
+      requestRound.run();
+      return;
+    }
+    boolean wasDraining = session.registration().draining();
+    if (session.update(registration, context.now())) {
+      keeper.kick(session);
+    }
+    if (registration.draining() && !wasDraining) {
+      moveOff(session);
+    }
+    if (registration.draining() != wasDraining) {
+      requestRound.run();
+    }
+  }
+
+  /** Stops what a worker that is about to leave cannot finish, so that it goes on elsewhere. */
+  private void moveOff(WorkerSession session) {
+    long now = context.now();
+    long stays = session.registration().drainRemainingMillis();
+    for (Member member : List.copyOf(session.members())) {
+      long margin = member.unit().step().checkpointed() ? 0 : stays;
+      if (!member.unit().isDone() && member.remainingMillis(now) > stays + margin) {
+        driver.abort(member.run(), "worker-drains");
+      }
+    }
+  }
+
+  @Override
+  public void unlisted(String worker) {
+    WorkerSession session = sessions.get(worker);
+    if (session != null) {
+      session.unlist();
+    }
+  }
+}
--- a/src/test/java/io/dragonflyturn/internal/dispatch/DispatchFixture.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/DispatchFixture.java
@@ -25,8 +25,10 @@
 import io.dragonflyturn.internal.workload.WorkloadCodec;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -40,6 +42,7 @@
   final FakeRecordStore store = new FakeRecordStore(loop);
   final FakeWorkers workers = new FakeWorkers(loop);
   final Set<String> domainsOut = new HashSet<>();
+  final Map<String, Long> guarantees = new HashMap<>();
   private final List<Instance> instances = new ArrayList<>();
   private final EventLog events = new EventLog(System.err, loop, "test");
   private final SequencedWriter submissions =
@@ -76,6 +79,7 @@
                   new KillableGateway(workers, access),
                   feed,
                   domainsOut::contains,
+                  customer -> guarantees.getOrDefault(customer, 0L),
                   directory,
                   loop,
                   loop,
@@ -122,10 +126,14 @@
   }
 
   void submit(String id, int priority, StepSpecification... steps) {
+    submitFor("customer", id, priority, steps);
+  }
+
+  void submitFor(String customer, String id, int priority, StepSpecification... steps) {
     JobSubmission job =
         new JobSubmission(
             id,
-            "customer",
+            customer,
             new QueuePolicy("queue", "service", priority, 2, 3.0, 1_000),
             loop.millis(),
             "content",
--- a/src/test/java/io/dragonflyturn/internal/dispatch/DispatcherTest.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/DispatcherTest.java
@@ -169,6 +169,32 @@
     assertThat(fixture.workers.workerOf("a.0.0.0")).isNotEmpty().isNotEqualTo(worker);
   }
 
+  @Test
+  void should_reclaim_guaranteed_accelerators_from_urgent_jobs_of_other_customers() {
+    fixture.workers.setWorkMillis(20_000);
+    fixture.guarantees.put("promised", 8L);
+    fixture.submitFor("greedy", "a", 0, DispatchFixture.tasks(16));
+    fixture.advance(1_000);
+
+    fixture.submitFor("promised", "b", 0, DispatchFixture.gang(8));
+    fixture.advance(2_700);
+
+    assertThat(fixture.workers.runningTasks()).contains("b.0.0.0", "b.0.0.7");
+  }
+
+  @Test
+  void should_take_no_room_from_urgent_jobs_for_a_customer_beyond_its_guarantee() {
+    fixture.workers.setWorkMillis(20_000);
+    fixture.guarantees.put("promised", 4L);
+    fixture.submitFor("greedy", "a", 0, DispatchFixture.tasks(16));
+    fixture.advance(1_000);
+
+    fixture.submitFor("promised", "b", 0, DispatchFixture.gang(8));
+    fixture.advance(2_700);
+
+    assertThat(fixture.workers.runningTasks()).doesNotContain("b.0.0.0").hasSize(16);
+  }
+
   @Test
   void should_start_nothing_in_a_failure_domain_that_is_out() {
     fixture.domainsOut.add("north");
