--- a/src/main/java/io/dragonflyturn/internal/dispatch/Dispatcher.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/Dispatcher.java
@@ -1,5 +1,6 @@
 package io.dragonflyturn.internal.dispatch;
 
+import io.dragonflyturn.internal.ledger.StoreContact;
 import io.dragonflyturn.internal.logging.LoggedCallback;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
@@ -134,13 +135,4 @@
   public void reached(long nextOffset) {
     election.reached(nextOffset);
   }
-
-  /** How current this instance's view of the jobs topic is. */
-  public interface StoreContact {
-    /** Says whether the newest records have been read. */
-    boolean isListed();
-
-    /** Returns how long the store has not answered; zero while it does. */
-    Duration silence();
-  }
 }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
@@ -72,9 +72,8 @@
 
   /** Fences the runs topic against the earlier leader, then loads what is stored. */
   void start() {
-    LeadershipRecord record = new LeadershipRecord(term, context.instance(), false);
     runsWriter
-        .write(new KeyedRecord(LedgerKeys.LEADER, record.encode()))
+        .write(leadership(false))
         .thenAccept(
             result -> {
               if (result == WriteResult.STORED) {
@@ -99,10 +98,12 @@
 
   /** Tells the others that this instance gives the lead up, then calls back. */
   void release(Runnable whenStored) {
-    LeadershipRecord record = new LeadershipRecord(term, context.instance(), true);
-    jobsWriter
-        .write(new KeyedRecord(LedgerKeys.LEADER, record.encode()))
-        .thenAccept(result -> whenStored.run());
+    jobsWriter.write(leadership(true)).thenAccept(result -> whenStored.run());
+  }
+
+  private KeyedRecord leadership(boolean released) {
+    LeadershipRecord record = new LeadershipRecord(term, context.instance(), released);
+    return new KeyedRecord(LedgerKeys.LEADER, record.encode());
   }
 
   boolean isReady() {
@@ -317,8 +318,7 @@
     if (context.now() - lastWriteMillis < BEAT_MILLIS || !jobsWriter.isIdle()) {
       return;
     }
-    LeadershipRecord record = new LeadershipRecord(term, context.instance(), false);
-    writeJobs(new KeyedRecord(LedgerKeys.LEADER, record.encode()));
+    writeJobs(leadership(false));
     forgetOldJobs();
   }
 
--- a/src/main/java/io/dragonflyturn/internal/dispatch/PlacementPlanner.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/PlacementPlanner.java
@@ -163,10 +163,10 @@
 
     List<Offer> offers = new ArrayList<>();
     for (Space space : candidates) {
-      int copies = space.copies(request, room.of(space));
+      TaskDemand free = room.of(space);
+      int copies = space.copies(request, free);
       if (copies > 0) {
-        offers.add(
-            new Offer(space, copies, room.of(space), space.lossFor(request, room.of(space))));
+        offers.add(new Offer(space, copies, free, space.lossFor(request, free)));
       }
     }
     Comparator<Offer> order =
--- a/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
@@ -57,28 +57,27 @@
 
   /** Places a unit, and starts its members once the placement is stored. */
   void start(WorkUnit unit, List<WorkerSession> places) {
-    ActiveRun run = new ActiveRun(unit, unit.lastRun() + 1);
-    for (int index = 0; index < places.size(); index++) {
-      WorkerSession session = places.get(index);
-      Member member = new Member(run, session, unit.taskName(index), State.PLACED);
-      run.add(member);
-      session.add(member);
-    }
     context.metrics().waitMillis().update(context.now() - unit.waitingSinceMillis());
-    unit.begin(run);
+    ActiveRun run = place(unit, unit.lastRun() + 1, places, State.PLACED);
     store(unit, () -> run.members().forEach(this::sendStart));
   }
 
   /** Takes over a run that an earlier leader placed. */
   void adopt(WorkUnit unit, List<WorkerSession> places) {
-    ActiveRun run = new ActiveRun(unit, unit.lastRun());
+    place(unit, unit.lastRun(), places, State.UNCERTAIN);
+  }
+
+  private static ActiveRun place(
+      WorkUnit unit, int number, List<WorkerSession> places, State state) {
+    ActiveRun run = new ActiveRun(unit, number);
     for (int index = 0; index < places.size(); index++) {
       WorkerSession session = places.get(index);
-      Member member = new Member(run, session, unit.taskName(index), State.UNCERTAIN);
+      Member member = new Member(run, session, unit.taskName(index), state);
       run.add(member);
       session.add(member);
     }
     unit.begin(run);
+    return run;
   }
 
   /** Stops a run; its members resolve when their ends are known. */
--- a/src/main/java/io/dragonflyturn/internal/intake/JobDesk.java
+++ b/src/main/java/io/dragonflyturn/internal/intake/JobDesk.java
@@ -1,6 +1,5 @@
 package io.dragonflyturn.internal.intake;
 
-import io.dragonflyturn.internal.dispatch.Dispatcher.StoreContact;
 import io.dragonflyturn.internal.dispatch.JobDirectory;
 import io.dragonflyturn.internal.dispatch.JobEntry;
 import io.dragonflyturn.internal.dispatch.LedgerKeys;
@@ -14,6 +13,7 @@
 import io.dragonflyturn.internal.intake.CallerAnswer.Waiting;
 import io.dragonflyturn.internal.ledger.KeyedRecord;
 import io.dragonflyturn.internal.ledger.SequencedWriter;
+import io.dragonflyturn.internal.ledger.StoreContact;
 import io.dragonflyturn.internal.ledger.WriteResult;
 import io.dragonflyturn.internal.logging.EventLog;
 import io.dragonflyturn.internal.workload.JobSubmission;
--- /dev/null
+++ b/src/main/java/io/dragonflyturn/internal/ledger/StoreContact.java
@@ -0,0 +1,12 @@
+package io.dragonflyturn.internal.ledger;
+
+import java.time.Duration;
+
+/** How current a view of the store is. */
+public interface StoreContact {
+  /** Says whether the newest records have been read. */
+  boolean isListed();
+
+  /** Returns how long the store has not answered; zero while it does. */
+  Duration silence();
+}
--- a/src/main/java/io/dragonflyturn/internal/ledger/TopicFollower.java
+++ b/src/main/java/io/dragonflyturn/internal/ledger/TopicFollower.java
@@ -16,7 +16,7 @@
  *
  * <p>Runs on the event loop that it is given; its methods are called there.
  */
-public final class TopicFollower {
+public final class TopicFollower implements StoreContact {
   private static final long SHORTEST_RETRY_MILLIS = 100;
   private static final long LONGEST_RETRY_MILLIS = 400;
 
@@ -73,7 +73,7 @@
     listed = false;
   }
 
-  /** Says whether the newest values have been read since the start. */
+  @Override
   public boolean isListed() {
     return listed;
   }
@@ -83,7 +83,7 @@
     return next;
   }
 
-  /** Returns how long the store has not answered. */
+  @Override
   public Duration silence() {
     return reachable ? Duration.ZERO : Duration.ofMillis(steady.millis() - lastContactMillis);
   }
--- a/src/test/java/io/dragonflyturn/internal/dispatch/DispatchFixture.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/DispatchFixture.java
@@ -87,7 +87,7 @@
                   new DispatchSettings(6_000, 200, 3_000),
                   events,
                   DispatchMetrics.register(new MetricRegistry())),
-              new Contact(follower));
+              follower);
       follower.start();
       dispatcher.start();
     }
@@ -194,18 +194,6 @@
     }
   }
 
-  private record Contact(TopicFollower follower) implements Dispatcher.StoreContact {
-    @Override
-    public boolean isListed() {
-      return follower.isListed();
-    }
-
-    @Override
-    public Duration silence() {
-      return follower.silence();
-    }
-  }
-
   /** Access to the store that ends when the instance is killed. */
   private static final class KillableStore implements RecordStore {
     private final RecordStore store;
--- a/src/test/java/io/dragonflyturn/internal/intake/JobDeskTest.java
+++ b/src/test/java/io/dragonflyturn/internal/intake/JobDeskTest.java
@@ -2,13 +2,13 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.dragonflyturn.internal.dispatch.Dispatcher.StoreContact;
 import io.dragonflyturn.internal.dispatch.JobDirectory;
 import io.dragonflyturn.internal.dispatch.LedgerKeys;
 import io.dragonflyturn.internal.ledger.AppendOutcome;
 import io.dragonflyturn.internal.ledger.KeyedRecord;
 import io.dragonflyturn.internal.ledger.RecordStore;
 import io.dragonflyturn.internal.ledger.SequencedWriter;
+import io.dragonflyturn.internal.ledger.StoreContact;
 import io.dragonflyturn.internal.ledger.WriterPosition;
 import io.dragonflyturn.internal.logging.EventLog;
 import io.dragonflyturn.internal.workload.JobPhase;
