Search a full fleet once for each kind of waiting task, and let planning take a quarter of the loop

Cause: on the grown sites a step has up to 39 tasks and hundreds wait at once; each round searched all 246 workers three times for each of them, and each end asked for a round. Ruled out: the followers (they read 100 ms pages), the holds (one a worker).

Change: RoomMemory remembers in a round what found no room even by stopping others; what asks for as much, of the same service, label, step limit and rack, is not searched again. After a round of t milliseconds the next begins 3t later, at most 200 ms. Small instances wait longer before they offer themselves as leader, so that a large one leads where there is one (InstanceCapacity, from the processor share and link of the settings).

Tests first: should_search_a_full_fleet_once_when_many_tasks_of_one_kind_wait (500 searches before, 1 after), CandidacyTest.

--- a/src/main/java/io/dragonflyturn/internal/dispatch/DispatchContext.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/DispatchContext.java
@@ -10,6 +10,7 @@
  * What the leader works with.
  *
  * @param instance the name of this instance
+ * @param capacity what this instance can carry
  * @param store the platform's store
  * @param gateway gives orders to workers
  * @param feed follows the workers' reports
@@ -25,6 +26,7 @@
  */
 public record DispatchContext(
     String instance,
+    InstanceCapacity capacity,
     RecordStore store,
     WorkerGateway gateway,
     WorkerFeed feed,
--- a/src/main/java/io/dragonflyturn/internal/dispatch/DispatchMetrics.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/DispatchMetrics.java
@@ -13,6 +13,7 @@
  * @param runsFailed runs that ended as failed
  * @param holds orders that renew a lease and list the runs
  * @param waitMillis from a unit being ready to its start, in milliseconds
+ * @param roundMillis the time that one planning round takes, in milliseconds
  */
 public record DispatchMetrics(
     Counter startsOrdered,
@@ -20,7 +21,8 @@
     Counter runsStopped,
     Counter runsFailed,
     Counter holds,
-    Histogram waitMillis) {
+    Histogram waitMillis,
+    Histogram roundMillis) {
   /** Registers the metrics. */
   public static DispatchMetrics register(MetricRegistry registry) {
     return new DispatchMetrics(
@@ -29,6 +31,7 @@
         registry.counter("dispatch.runs.stopped"),
         registry.counter("dispatch.runs.failed"),
         registry.counter("dispatch.holds"),
-        registry.histogram("dispatch.wait.milliseconds"));
+        registry.histogram("dispatch.wait.milliseconds"),
+        registry.histogram("dispatch.round.milliseconds"));
   }
 }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/Dispatcher.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/Dispatcher.java
@@ -30,6 +30,7 @@
         new LeaderElection(
             context.store(),
             context.instance(),
+            context.capacity(),
             context.steady(),
             context.loop(),
             context.events(),
--- a/src/main/java/io/dragonflyturn/internal/dispatch/LeaderElection.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LeaderElection.java
@@ -42,6 +42,7 @@
   private final EventLog events;
   private final Listener listener;
   private final long spreadMillis;
+  private final long delayMillis;
   private LeadershipRecord seen = LeadershipRecord.NONE;
   private long signMillis;
   private long offset;
@@ -53,6 +54,7 @@
   public LeaderElection(
       RecordStore store,
       String instance,
+      InstanceCapacity capacity,
       InstantSource steady,
       ScheduledExecutorService loop,
       EventLog events,
@@ -64,6 +66,7 @@
     this.events = events;
     this.listener = listener;
     this.spreadMillis = Math.floorMod(instance.hashCode(), SPREAD_MILLIS);
+    this.delayMillis = capacity.candidacyDelayMillis();
     this.signMillis = steady.millis();
   }
 
@@ -123,7 +126,7 @@
     }
     long silence = steady.millis() - signMillis;
     long due = seen.released() ? spreadMillis / 2 : SILENCE_MILLIS + spreadMillis;
-    if (silence >= due) {
+    if (silence >= due + delayMillis) {
       propose(silence);
     }
   }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -21,6 +22,11 @@
 final class LeaderTerm implements RunDriver.Listener {
   private static final long BEAT_MILLIS = 500;
 
+  /** Planning takes at most one part in so many of the event loop's time. */
+  private static final int ROUND_TIME_PARTS = 4;
+
+  private static final long LONGEST_ROUND_PAUSE_MILLIS = 200;
+
   /** How long an ended job can be asked for, in milliseconds. */
   private static final long KEEP_ENDED_MILLIS = 300_000;
 
@@ -39,6 +45,7 @@
   private boolean ready;
   private boolean closed;
   private boolean roundRequested;
+  private long nextRoundMillis;
   private long lastWriteMillis;
   private final long startedMillis;
 
@@ -342,14 +349,28 @@
       return;
     }
     roundRequested = true;
-    context.loop().execute(this::round);
+    long pauseMillis = nextRoundMillis - context.now();
+    if (pauseMillis > 0) {
+      context.loop().schedule(this::timedRound, pauseMillis, TimeUnit.MILLISECONDS);
+    } else {
+      context.loop().execute(this::timedRound);
+    }
   }
 
-  private void round() {
+  private void timedRound() {
     roundRequested = false;
     if (closed) {
       return;
     }
+    long startMillis = context.now();
+    round();
+    long endMillis = context.now();
+    long pauseMillis = (endMillis - startMillis) * (ROUND_TIME_PARTS - 1);
+    nextRoundMillis = endMillis + Math.min(pauseMillis, LONGEST_ROUND_PAUSE_MILLIS);
+    context.metrics().roundMillis().update(endMillis - startMillis);
+  }
+
+  private void round() {
     PlanningRound round = new PlanningRound(context, fleet.sessions(), jobs.values(), trust);
     Map<String, WorkUnit> waiting = round.waitingUnits();
     if (waiting.isEmpty() || runsWriter.isTroubled()) {
--- a/src/main/java/io/dragonflyturn/internal/dispatch/PlacementPlan.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/PlacementPlan.java
@@ -10,8 +10,10 @@
  * @param placed the units to start, in order
  * @param stopped the keys of the units to stop, so that more urgent ones can start
  * @param waiting why each other unit waits
+ * @param searches for how many units the fleet was searched
  */
-record PlacementPlan(List<Placed> placed, Set<String> stopped, Map<String, WaitCause> waiting) {
+record PlacementPlan(
+    List<Placed> placed, Set<String> stopped, Map<String, WaitCause> waiting, int searches) {
   /**
    * A unit with a worker for each of its tasks.
    *
--- a/src/main/java/io/dragonflyturn/internal/dispatch/PlacementPlanner.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/PlacementPlanner.java
@@ -25,13 +25,12 @@
  * step asks for that or its data lies there, until it has waited as long as its tasks should run.
  */
 final class PlacementPlanner {
-  /** The longest that a unit waits for its preferred rack, in milliseconds. */
-  private static final long LONGEST_RACK_WAIT_MILLIS = 4_000;
-
   private final Map<String, Space> spaces = new LinkedHashMap<>();
   private final List<Placed> placed = new ArrayList<>();
   private final Set<String> stopped = new LinkedHashSet<>();
   private final Map<String, WaitCause> waiting = new LinkedHashMap<>();
+  private final RoomMemory memory = new RoomMemory();
+  private int searches;
 
   private PlacementPlanner(Collection<WorkerSpace> workers) {
     workers.forEach(worker -> spaces.put(worker.id(), new Space(worker)));
@@ -41,10 +40,15 @@
   static PlacementPlan plan(Collection<WorkerSpace> workers, List<PlacementRequest> requests) {
     PlacementPlanner planner = new PlacementPlanner(workers);
     requests.forEach(planner::plan);
-    return new PlacementPlan(planner.placed, planner.stopped, planner.waiting);
+    return new PlacementPlan(planner.placed, planner.stopped, planner.waiting, planner.searches);
   }
 
   private void plan(PlacementRequest request) {
+    if (memory.isHopeless(request)) {
+      waiting.put(request.unit(), WaitCause.NO_ROOM);
+      return;
+    }
+    searches++;
     List<Space> eligible = eligible(request);
     if (eligible.isEmpty()) {
       waiting.put(request.unit(), WaitCause.NO_ELIGIBLE_WORKER);
@@ -82,6 +86,7 @@
     List<Space> reclaimed =
         choose(request, eligible, space -> space.freeAfterDisplacing(request.priority()));
     if (reclaimed == null) {
+      memory.foundNone(request);
       return WaitCause.NO_ROOM;
     }
     reclaimed.forEach(space -> space.take(request.step().demand()));
@@ -127,8 +132,7 @@
 
   /** Says whether a rack that could hold the unit, were it empty, is worth waiting for. */
   private static boolean waitsForRack(PlacementRequest request, List<Space> candidates) {
-    long patience = Math.min(request.step().estimateMillis(), LONGEST_RACK_WAIT_MILLIS);
-    return request.waitedMillis() < patience
+    return request.mayWaitForRack()
         && racks(candidates).stream()
             .anyMatch(rack -> fill(request, rack, Space::capacity) != null);
   }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/PlacementRequest.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/PlacementRequest.java
@@ -29,8 +29,16 @@
     Map<String, Integer> runsOfStep,
     long waitedMillis,
     long patienceMillis) {
+  /** The longest that a unit waits for its preferred rack, in milliseconds. */
+  private static final long LONGEST_RACK_WAIT_MILLIS = 4_000;
+
   /** Says whether the unit may displace runs of less urgent jobs now. */
   boolean mayDisplace() {
     return waitedMillis >= patienceMillis;
   }
+
+  /** Says whether the unit may still wait for the rack that its work prefers. */
+  boolean mayWaitForRack() {
+    return waitedMillis < Math.min(step.estimateMillis(), LONGEST_RACK_WAIT_MILLIS);
+  }
 }
--- /dev/null
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/CandidacyTest.java
@@ -0,0 +1,55 @@
+package io.dragonflyturn.internal.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.dragonflyturn.internal.dispatch.DispatchFixture.Instance;
+import org.junit.jupiter.api.Test;
+
+/** Which of the instances leads where they differ in size. */
+class CandidacyTest {
+  private static final int SMALL_INSTANCES = 12;
+
+  private final DispatchFixture fixture = new DispatchFixture();
+
+  @Test
+  void should_elect_a_large_instance_among_many_small_ones() {
+    startSmallInstances();
+    Instance large = fixture.instance("large", DispatchFixture.LARGE);
+
+    fixture.advance(3_000);
+
+    assertThat(large.dispatcher.isLeading()).isTrue();
+  }
+
+  @Test
+  void should_replace_a_large_leader_by_the_other_large_one() {
+    startSmallInstances();
+    final Instance one = fixture.instance("one", DispatchFixture.LARGE);
+    final Instance other = fixture.instance("other", DispatchFixture.LARGE);
+    fixture.advance(3_000);
+
+    Instance leader = fixture.leader();
+    leader.kill();
+    fixture.advance(3_000);
+
+    assertThat(fixture.leader()).isSameAs(leader == one ? other : one);
+  }
+
+  @Test
+  void should_elect_a_small_instance_within_three_seconds_where_no_large_one_is_left() {
+    startSmallInstances();
+    Instance large = fixture.instance("large", DispatchFixture.LARGE);
+    fixture.advance(3_000);
+
+    large.kill();
+    fixture.advance(3_000);
+
+    assertThat(fixture.leader()).isNotSameAs(large);
+  }
+
+  private void startSmallInstances() {
+    for (int number = 0; number < SMALL_INSTANCES; number++) {
+      fixture.instance("small-" + number, DispatchFixture.SMALL);
+    }
+  }
+}
--- a/src/test/java/io/dragonflyturn/internal/dispatch/DispatchFixture.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/DispatchFixture.java
@@ -36,6 +36,8 @@
 
 /** Instances, a store, and workers in memory on one manual event loop. */
 final class DispatchFixture {
+  static final InstanceCapacity LARGE = new InstanceCapacity(1.5, 200);
+  static final InstanceCapacity SMALL = new InstanceCapacity(0.36, 10);
   static final TaskDemand TASK = new TaskDemand(4_000, 8_000, 1);
 
   final ManualLoop loop = new ManualLoop();
@@ -59,7 +61,7 @@
     private final KillableStore access;
     private final Feed feed = new Feed();
 
-    Instance(String name) {
+    Instance(String name, InstanceCapacity capacity) {
       access = new KillableStore(store);
       TopicFollower follower =
           new TopicFollower(
@@ -75,6 +77,7 @@
           new Dispatcher(
               new DispatchContext(
                   name,
+                  capacity,
                   access,
                   new KillableGateway(workers, access),
                   feed,
@@ -109,7 +112,11 @@
   }
 
   Instance instance(String name) {
-    Instance instance = new Instance(name);
+    return instance(name, LARGE);
+  }
+
+  Instance instance(String name, InstanceCapacity capacity) {
+    Instance instance = new Instance(name, capacity);
     instances.add(instance);
     return instance;
   }
--- a/src/test/java/io/dragonflyturn/internal/dispatch/PlacementPlannerTest.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/PlacementPlannerTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 class PlacementPlannerTest {
@@ -156,6 +157,52 @@
     assertThat(plan.placed()).containsExactly(new Placed("j.0.0", List.of("a1", "b1")));
   }
 
+  @Test
+  void should_search_a_full_fleet_once_when_many_tasks_of_one_kind_wait() {
+    StepSpecification step = new StepBuilder(SMALL).build();
+    WorkerSpace full = occupied("w1", new Occupant("old.0.0.0", 0, WHOLE, false, 0));
+    List<PlacementRequest> tasks =
+        IntStream.range(0, 500).mapToObj(index -> task("j.0.0." + index, step)).toList();
+
+    PlacementPlan plan = PlacementPlanner.plan(List.of(full), tasks);
+
+    assertThat(plan.searches()).isEqualTo(1);
+    assertThat(plan.waiting()).hasSize(500).containsValue(WaitCause.NO_ROOM);
+  }
+
+  @Test
+  void should_still_place_a_smaller_task_after_a_larger_one_found_no_room() {
+    StepSpecification large = new StepBuilder(WHOLE).build();
+    StepSpecification small = new StepBuilder(SMALL).build();
+    WorkerSpace busy = occupied("w1", new Occupant("old.0.0.0", 0, SMALL, false, 0));
+
+    PlacementPlan plan =
+        PlacementPlanner.plan(
+            List.of(busy), List.of(task("large.0.0.0", large), task("small.0.0.0", small)));
+
+    assertThat(plan.placed()).containsExactly(new Placed("small.0.0.0", List.of("w1")));
+    assertThat(plan.waiting()).containsOnlyKeys("large.0.0.0");
+  }
+
+  @Test
+  void should_place_a_task_of_another_step_after_a_step_reached_its_limit_on_each_worker() {
+    StepSpecification limited = new StepBuilder(SMALL).mostPerWorker(1).build();
+    StepSpecification free = new StepBuilder(SMALL).build();
+
+    PlacementPlan plan =
+        PlacementPlanner.plan(
+            List.of(worker("w1", "r1")),
+            List.of(
+                task("a.0.0.0", limited),
+                task("a.0.0.1", limited),
+                task("b.0.0.0", limited),
+                task("c.0.0.0", free)));
+
+    assertThat(plan.placed())
+        .extracting(Placed::unit)
+        .containsExactly("a.0.0.0", "b.0.0.0", "c.0.0.0");
+  }
+
   private static WorkerSpace worker(String id, String rack) {
     return new WorkerSpace(id, "service", rack, List.of("a", rack), true, WHOLE, List.of());
   }
