Stop only the runs whose room is needed, where those lose least, and count the restart

Change: the loss of a worker is that of the fewest runs that make room for one task; runs whose room is not needed are left alone; each stop counts a second of all tasks of its unit.

Tests first: two in PlacementPlannerTest failed before.

--- a/src/main/java/io/dragonflyturn/internal/dispatch/PlacementPlanner.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/PlacementPlanner.java
@@ -115,14 +115,8 @@
   }
 
   private void stopFor(Space space, int priority) {
-    List<Occupant> victims = new ArrayList<>(space.worker.occupants());
-    victims.sort(Comparator.comparing(Occupant::priority).reversed().thenComparing(Occupant::loss));
-    for (Occupant victim : victims) {
-      boolean enough = space.freeWhenLeft().holds(TaskDemand.NONE);
-      if (enough) {
-        return;
-      }
-      if (victim.priority() > priority && !victim.leaving() && stopped.add(victim.unit())) {
+    for (Occupant victim : space.victimsFor(TaskDemand.NONE, priority)) {
+      if (stopped.add(victim.unit())) {
         spaces.values().forEach(each -> each.leave(victim.unit()));
       }
     }
@@ -191,7 +185,7 @@
       }
     }
     Comparator<Offer> order =
-        Comparator.comparingLong((Offer offer) -> offer.loss / offer.copies)
+        Comparator.comparingLong((Offer offer) -> offer.loss)
             .thenComparingInt(offer -> -Math.min(offer.copies, request.tasks()))
             .thenComparingInt(offer -> offer.free.accelerators())
             .thenComparingLong(offer -> offer.free.processorMillis())
@@ -272,18 +266,47 @@
       return sum;
     }
 
-    /** Returns the work that is thrown away when the worker makes a room free for a unit. */
+    /** Returns the work that is thrown away when a room is made free for one task of a unit. */
     long lossFor(PlacementRequest request, TaskDemand room) {
       if (room.equals(free) || room.equals(freeWhenLeft())) {
         return 0;
       }
-      long loss = 0;
+      return victimsFor(request.step().demand(), request.priority()).stream()
+          .mapToLong(Occupant::loss)
+          .sum();
+    }
+
+    /** Returns the runs to stop for a room: the least urgent first, then those that lose least. */
+    List<Occupant> victimsFor(TaskDemand needed, int priority) {
+      List<Occupant> victims = new ArrayList<>();
+      TaskDemand room = freeWhenLeft();
+      for (Occupant candidate : displaceable(priority)) {
+        if (room.holds(needed)) {
+          break;
+        }
+        victims.add(candidate);
+        room = room.plus(candidate.demand());
+      }
+      for (Occupant victim : List.copyOf(victims).reversed()) {
+        TaskDemand without = room.minus(victim.demand());
+        if (without.holds(needed)) {
+          victims.remove(victim);
+          room = without;
+        }
+      }
+      return victims;
+    }
+
+    private List<Occupant> displaceable(int priority) {
+      List<Occupant> candidates = new ArrayList<>();
       for (Occupant occupant : worker.occupants()) {
-        boolean goes =
-            !leaving.contains(occupant.unit()) && occupant.priority() > request.priority();
-        loss += goes ? occupant.loss() : 0;
+        if (occupant.priority() > priority && !leaving.contains(occupant.unit())) {
+          candidates.add(occupant);
+        }
       }
-      return loss;
+      candidates.sort(
+          Comparator.comparing(Occupant::priority).reversed().thenComparing(Occupant::loss));
+      return candidates;
     }
 
     boolean serves(PlacementRequest request) {
--- a/src/main/java/io/dragonflyturn/internal/dispatch/StopLoss.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/StopLoss.java
@@ -12,6 +12,9 @@
   /** What a run with checkpoints loses: a stop stores one, and the next run resumes from it. */
   private static final long RESUME_MILLIS = 600;
 
+  /** What placing a unit again costs beside its lost work, as time of all its tasks. */
+  private static final long RESTART_MILLIS = 1_000;
+
   private StopLoss() {}
 
   /** Returns the work of the member's whole unit that a stop throws away, in core milliseconds. */
@@ -24,6 +27,6 @@
     if (unit.step().checkpointed()) {
       lost = Math.min(lost, RESUME_MILLIS);
     }
-    return lost * Math.max(1, cores) * unit.tasks();
+    return (lost + RESTART_MILLIS) * Math.max(1, cores) * unit.tasks();
   }
 }
--- a/src/test/java/io/dragonflyturn/internal/dispatch/PlacementPlannerTest.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/PlacementPlannerTest.java
@@ -193,6 +193,43 @@
         .containsExactly("a.0.0.0", "b.0.0.0", "c.0.0.0");
   }
 
+  @Test
+  void should_stop_only_the_runs_whose_room_is_needed() {
+    StepSpecification urgent = new StepBuilder(new TaskDemand(1_000, 1_000, 4)).gang(1).build();
+    TaskDemand noAccelerator = new TaskDemand(1_000, 1_000, 0);
+    TaskDemand four = new TaskDemand(1_000, 1_000, 4);
+    WorkerSpace busy =
+        occupied(
+            "w1",
+            new Occupant("idle.0.0.0", 2, noAccelerator, false, 1),
+            new Occupant("small.0.0.0", 2, four, false, 5),
+            new Occupant("other.0.0.0", 2, four, false, 9));
+
+    PlacementPlan plan = plan(List.of(busy), List.of(gang("urgent.0.0", urgent, 0)));
+
+    assertThat(plan.stopped()).containsExactly("small.0.0.0");
+  }
+
+  @Test
+  void should_stop_where_the_needed_runs_lose_least() {
+    StepSpecification urgent = new StepBuilder(new TaskDemand(1_000, 1_000, 4)).gang(1).build();
+    TaskDemand four = new TaskDemand(1_000, 1_000, 4);
+    WorkerSpace one =
+        occupied(
+            "w1",
+            new Occupant("cheap.0.0.0", 2, four, false, 1),
+            new Occupant("dear.0.0.0", 2, four, false, 90));
+    WorkerSpace two =
+        occupied(
+            "w2",
+            new Occupant("even.0.0.0", 2, four, false, 20),
+            new Occupant("even.0.0.1", 2, four, false, 20));
+
+    PlacementPlan plan = plan(List.of(one, two), List.of(gang("urgent.0.0", urgent, 0)));
+
+    assertThat(plan.stopped()).containsExactly("cheap.0.0.0");
+  }
+
   private static PlacementPlan plan(List<WorkerSpace> fleet, List<PlacementRequest> requests) {
     return PlacementPlanner.plan(fleet, Set.of(), requests);
   }
@@ -201,9 +238,12 @@
     return new WorkerSpace(id, "service", rack, List.of("a", rack), true, WHOLE, List.of());
   }
 
-  private static WorkerSpace occupied(String id, Occupant occupant) {
-    TaskDemand free = WHOLE.minus(occupant.demand());
-    return new WorkerSpace(id, "service", "r1", List.of("a", "r1"), true, free, List.of(occupant));
+  private static WorkerSpace occupied(String id, Occupant... occupants) {
+    TaskDemand free = WHOLE;
+    for (Occupant occupant : occupants) {
+      free = free.minus(occupant.demand());
+    }
+    return new WorkerSpace(id, "service", "r1", List.of("a", "r1"), true, free, List.of(occupants));
   }
 
   private static PlacementRequest task(String key, StepSpecification step) {
