--- a/src/main/java/io/dragonflyturn/standin/StandinAnswer.java
+++ b/src/main/java/io/dragonflyturn/standin/StandinAnswer.java
@@ -11,29 +11,33 @@
  * @param content the content; null cuts the connection without an answer
  */
 @SuppressWarnings("ArrayRecordComponent")
-record StandinAnswer(int status, String contentType, byte @Nullable [] content) {
+public record StandinAnswer(int status, String contentType, byte @Nullable [] content) {
   private static final String JSON = "application/json";
   private static final String BYTES = "application/octet-stream";
 
   /** The connection is cut without an answer. */
-  static final StandinAnswer LOST = new StandinAnswer(0, JSON, null);
+  public static final StandinAnswer LOST = new StandinAnswer(0, JSON, null);
 
-  static StandinAnswer json(Object value) {
+  /** Answers with a value as JSON. */
+  public static StandinAnswer json(Object value) {
     return json(200, value);
   }
 
-  static StandinAnswer json(int status, Object value) {
+  /** Answers with a status and a value as JSON. */
+  public static StandinAnswer json(int status, Object value) {
     return new StandinAnswer(status, JSON, ApiReader.write(value));
   }
 
-  static StandinAnswer bytes(byte[] content) {
+  /** Answers with bytes. */
+  public static StandinAnswer bytes(byte[] content) {
     return new StandinAnswer(200, BYTES, content);
   }
 
-  static StandinAnswer error(int status, String message) {
+  /** Answers that a call was not served. */
+  public static StandinAnswer error(int status, String message) {
     return json(status, new Problem(message));
   }
 
   /** Why a call was not served. */
-  record Problem(String message) {}
+  public record Problem(String message) {}
 }
--- a/src/main/java/io/dragonflyturn/standin/StandinServer.java
+++ b/src/main/java/io/dragonflyturn/standin/StandinServer.java
@@ -17,7 +17,7 @@
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /** An HTTP server on loopback with one port for each of its services. */
-final class StandinServer implements AutoCloseable {
+public final class StandinServer implements AutoCloseable {
   private static final String LOOPBACK = "127.0.0.1";
   private static final int MAXIMUM_THREADS = 64;
   private static final int MINIMUM_THREADS = 4;
@@ -27,12 +27,13 @@
   private final Server server;
 
   /** Serves the calls that come in at one port. */
-  interface Service {
+  public interface Service {
     /** Serves a call; may block. */
     StandinAnswer serve(String method, String path, Request request, byte[] body) throws Exception;
   }
 
-  StandinServer() {
+  /** Creates a server without services. */
+  public StandinServer() {
     QueuedThreadPool threads = new QueuedThreadPool(MAXIMUM_THREADS, MINIMUM_THREADS);
     threads.setVirtualThreadsExecutor(virtualThreads);
     server = new Server(threads);
@@ -40,7 +41,7 @@
   }
 
   /** Adds a service at a port; 0 takes a free one. Call before {@link #start}. */
-  ServerConnector add(int port, Service service) {
+  public ServerConnector add(int port, Service service) {
     ServerConnector connector = new ServerConnector(server, 1, 1, new HttpConnectionFactory());
     connector.setHost(LOOPBACK);
     connector.setPort(port);
@@ -50,7 +51,8 @@
     return connector;
   }
 
-  void start() {
+  /** Starts to listen. */
+  public void start() {
     try {
       server.start();
     } catch (Exception failure) {
--- a/src/test/java/io/dragonflyturn/scenario/ChildProcess.java
+++ b/src/test/java/io/dragonflyturn/scenario/ChildProcess.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -50,13 +51,7 @@
    */
   public static ChildProcess start(
       String name, Class<?> mainClass, String lastReadyLine, List<String> arguments) {
-    List<String> command = new ArrayList<>();
-    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-    command.addAll(JVM_FLAGS);
-    command.add("-cp");
-    command.add(System.getProperty("java.class.path"));
-    command.add(mainClass.getName());
-    command.addAll(arguments);
+    List<String> command = command(mainClass, arguments);
     try {
       Process process =
           new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.DISCARD).start();
@@ -69,6 +64,38 @@
     }
   }
 
+  /**
+   * Starts a main class whose output goes to a file; when it serves is for the caller to ask.
+   *
+   * @param name names the process in messages
+   * @param environment variables that the process gets beside those of this one
+   */
+  public static ChildProcess startLogging(
+      String name, Class<?> mainClass, Map<String, String> environment, Path log) {
+    ProcessBuilder builder = new ProcessBuilder(command(mainClass, List.of()));
+    builder.environment().putAll(environment);
+    builder.redirectErrorStream(true);
+    builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+    try {
+      Process process = builder.start();
+      remember(process);
+      return new ChildProcess(name, process);
+    } catch (IOException failure) {
+      throw new IllegalStateException(name + " did not start.", failure);
+    }
+  }
+
+  private static List<String> command(Class<?> mainClass, List<String> arguments) {
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(JVM_FLAGS);
+    command.add("-cp");
+    command.add(System.getProperty("java.class.path"));
+    command.add(mainClass.getName());
+    command.addAll(arguments);
+    return command;
+  }
+
   /** Waits until the process serves, and returns the lines that say so. */
   public List<String> awaitReady() {
     try {
--- a/src/test/java/io/dragonflyturn/scenario/Relay.java
+++ b/src/test/java/io/dragonflyturn/scenario/Relay.java
@@ -14,6 +14,7 @@
 public final class Relay implements AutoCloseable {
   private static final int BUFFER_BYTES = 16_384;
   private static final int BACKLOG = 256;
+  private static final long SILENCE_CHECK_MILLIS = 5;
 
   private final ServerSocket listener;
   private final InetSocketAddress target;
@@ -27,6 +28,8 @@
     OPEN,
     /** Calls pass, and answers are dropped. */
     ANSWERS_CUT,
+    /** Nothing, while connections stay open; what was held back passes once the relay opens. */
+    SILENT,
     /** Nothing, and connections are closed. */
     CUT
   }
@@ -66,6 +69,12 @@
     sockets.forEach(Relay::closeQuietly);
   }
 
+  private void awaitSound() throws InterruptedException {
+    while (mode == Mode.SILENT) {
+      Thread.sleep(SILENCE_CHECK_MILLIS);
+    }
+  }
+
   private void accept() {
     try {
       while (!listener.isClosed()) {
@@ -105,6 +114,7 @@
       OutputStream output = to.getOutputStream();
       for (int count = input.read(buffer); count >= 0; count = input.read(buffer)) {
         Thread.sleep(delayMillis);
+        awaitSound();
         if (!answers || mode == Mode.OPEN) {
           output.write(buffer, 0, count);
         }
