Pass calls on to a peer while an instance does not reach the store

Change: each instance stores where peers reach it (key i + name in keyed.jobs). A write without an outcome for 700 ms is asked of a peer too; the first success counts, since a job is joined by its identifier. A refusal is said only where no peer can have taken the call.

--- a/src/main/java/io/dragonflyturn/internal/dispatch/JobDirectory.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/JobDirectory.java
@@ -6,6 +6,7 @@
 import io.dragonflyturn.internal.workload.JobPhase;
 import io.dragonflyturn.internal.workload.WorkloadCodec;
 import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
 import java.time.InstantSource;
 import java.util.Collection;
 import java.util.HashMap;
@@ -14,7 +15,8 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * All jobs and who leads, folded from the jobs topic. Used on the event loop only.
+ * All jobs, who leads, and where instances are, folded from the jobs topic. Used on the event loop
+ * only.
  *
  * <p>A repeated submission of the same identifier joins the first. An end is final.
  */
@@ -22,6 +24,7 @@
   private final InstantSource steady;
   private final EventLog events;
   private final Map<String, JobEntry> jobs = new LinkedHashMap<>();
+  private final Map<String, String> instanceAddresses = new LinkedHashMap<>();
   private LeadershipRecord leadership = LeadershipRecord.NONE;
   private @Nullable Observer observer;
 
@@ -51,6 +54,11 @@
     return leadership;
   }
 
+  /** Returns where peers reach each instance that ever stored it, by the instance's name. */
+  public Map<String, String> instanceAddresses() {
+    return instanceAddresses;
+  }
+
   /** Returns how many jobs of a queue that start at once have not begun. */
   public int waitingJobs(String queue) {
     int waiting = 0;
@@ -112,6 +120,8 @@
       case LedgerKeys.SUBMISSION -> foldSubmission(id, value);
       case LedgerKeys.CANCELLATION -> foldCancellation(id);
       case LedgerKeys.PHASE -> foldPhase(id, value);
+      case LedgerKeys.INSTANCE ->
+          instanceAddresses.put(id, new String(value, StandardCharsets.UTF_8));
       default -> events.event("record-unknown").with("key", change.key()).write();
     }
   }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/LedgerKeys.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LedgerKeys.java
@@ -14,6 +14,7 @@
   static final char SUBMISSION = 's';
   static final char CANCELLATION = 'c';
   static final char PHASE = 'p';
+  static final char INSTANCE = 'i';
 
   private LedgerKeys() {}
 
@@ -27,6 +28,11 @@
     return CANCELLATION + job;
   }
 
+  /** Returns the key under which an instance stores where peers reach it. */
+  public static String instance(String name) {
+    return INSTANCE + name;
+  }
+
   /** Returns the key of a job's phase. */
   public static String phase(String job) {
     return PHASE + job;
--- a/src/main/java/io/dragonflyturn/internal/intake/CallerAnswer.java
+++ b/src/main/java/io/dragonflyturn/internal/intake/CallerAnswer.java
@@ -1,7 +1,6 @@
 package io.dragonflyturn.internal.intake;
 
 import io.dragonflyturn.internal.workload.JobPhase;
-import java.time.Duration;
 
 /** What a caller is told. */
 public sealed interface CallerAnswer {
@@ -27,7 +26,7 @@
   record Malformed(String message) implements CallerAnswer {}
 
   /** The call has no effect now; it may be repeated after a time. */
-  record Unavailable(Duration retryAfter) implements CallerAnswer {}
+  record Unavailable(long retryAfterSeconds) implements CallerAnswer {}
 
   /** The call may have taken effect; repeating it is safe. */
   record OutcomeUnknown() implements CallerAnswer {}
--- a/src/main/java/io/dragonflyturn/internal/intake/JobDesk.java
+++ b/src/main/java/io/dragonflyturn/internal/intake/JobDesk.java
@@ -34,7 +34,10 @@
  */
 public final class JobDesk {
   private static final byte[] CANCELLED = {1};
-  private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+  private static final long RETRY_AFTER_SECONDS = 1;
+
+  /** How long a write may be without an outcome before a peer is asked too, in milliseconds. */
+  private static final long HEDGE_MILLIS = 700;
 
   /** A store that has been silent this long can take no submission now. */
   private static final Duration STORE_SILENCE = Duration.ofMillis(500);
@@ -46,6 +49,7 @@
   private final JobDirectory directory;
   private final SequencedWriter writer;
   private final StoreContact contact;
+  private final CallRelay relay;
   private final ScheduledExecutorService loop;
   private final InstantSource timeOfDay;
   private final EventLog events;
@@ -57,6 +61,7 @@
       JobDirectory directory,
       SequencedWriter writer,
       StoreContact contact,
+      CallRelay relay,
       ScheduledExecutorService loop,
       InstantSource timeOfDay,
       EventLog events) {
@@ -64,37 +69,69 @@
     this.directory = directory;
     this.writer = writer;
     this.contact = contact;
+    this.relay = relay;
     this.loop = loop;
     this.timeOfDay = timeOfDay;
     this.events = events;
   }
 
-  /** Takes a job. */
-  public CompletableFuture<CallerAnswer> submit(
-      CallerRequest request, String id, JobContent content) {
-    return judge(request, call -> store(call, id, content));
+  /** Answers a call; a peer answers it where this instance does not reach the store. */
+  public CompletableFuture<CallerAnswer> answer(CallerCall call) {
+    if (contact.isReachable()) {
+      return answerHere(call, true);
+    }
+    return relay
+        .relay(call)
+        .thenCompose(relayed -> relayed.map(JobDesk::now).orElseGet(() -> answerHere(call, false)));
+  }
+
+  /** Answers a call that a peer passed on; it is not passed on again. */
+  public CompletableFuture<CallerAnswer> answerForPeer(CallerCall call) {
+    return contact.isReachable()
+        ? answerHere(call, false)
+        : now(new Unavailable(RETRY_AFTER_SECONDS));
   }
 
-  /** Cancels a job. */
-  public CompletableFuture<CallerAnswer> cancel(CallerRequest request, String id) {
-    return judge(request, call -> storeCancellation(call, id));
+  private CompletableFuture<CallerAnswer> answerHere(CallerCall call, boolean hedges) {
+    return switch (call) {
+      case CallerCall.Submit submit ->
+          judge(submit.request(), known -> hedged(submit, hedges, store(known, submit)));
+      case CallerCall.Cancel cancel ->
+          judge(
+              cancel.request(),
+              known -> hedged(cancel, hedges, storeCancellation(known, cancel.id())));
+      case CallerCall.ReadPhase read -> judge(read.request(), known -> now(phaseOf(read.id())));
+      case CallerCall.CountWaiting count ->
+          judge(
+              count.request(),
+              known -> now(new Waiting(directory.waitingJobs(known.queue.policy().name()))));
+    };
   }
 
-  /** Tells a job's phase. */
-  public CompletableFuture<CallerAnswer> phase(CallerRequest request, String id) {
-    return judge(request, call -> now(phaseOf(id)));
+  /** Asks a peer too where a write stays without an outcome; the first success counts. */
+  private CompletableFuture<CallerAnswer> hedged(
+      CallerCall call, boolean hedges, CompletableFuture<CallerAnswer> answer) {
+    if (hedges && !answer.isDone()) {
+      loop.schedule(() -> askPeer(call, answer), HEDGE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+    return answer;
   }
 
-  /** Tells how many jobs of the queue have not begun. */
-  public CompletableFuture<CallerAnswer> waiting(CallerRequest request) {
-    return judge(
-        request, call -> now(new Waiting(directory.waitingJobs(call.queue.policy().name()))));
+  private void askPeer(CallerCall call, CompletableFuture<CallerAnswer> answer) {
+    if (answer.isDone()) {
+      return;
+    }
+    relay
+        .relay(call)
+        .thenAccept(
+            relayed ->
+                relayed.filter(each -> each instanceof Accepted).ifPresent(answer::complete));
   }
 
   private CompletableFuture<CallerAnswer> judge(CallerRequest request, Action action) {
     CallerConfiguration current = configuration.get();
     if (current == null || !contact.isListed()) {
-      return now(new Unavailable(RETRY_AFTER));
+      return now(new Unavailable(RETRY_AFTER_SECONDS));
     }
     CallerQueue queue = current.queueOf(request.host(), request.path());
     if (queue == null) {
@@ -109,7 +146,9 @@
     return action.answer(new Call(request, queue, customer == null ? "" : customer, current));
   }
 
-  private CompletableFuture<CallerAnswer> store(Call call, String id, JobContent content) {
+  private CompletableFuture<CallerAnswer> store(Call call, CallerCall.Submit submit) {
+    String id = submit.id();
+    JobContent content = submit.content();
     if (directory.job(id) != null) {
       log("job-joined", id, call.configuration, "known");
       return now(new Accepted());
@@ -118,7 +157,7 @@
     if (writing == null) {
       if (contact.silence().compareTo(STORE_SILENCE) > 0) {
         log("job-refused", id, call.configuration, "store-silent");
-        return now(new Unavailable(RETRY_AFTER));
+        return now(new Unavailable(RETRY_AFTER_SECONDS));
       }
       JobSubmission submission =
           new JobSubmission(
@@ -148,7 +187,7 @@
       return now(new Accepted());
     }
     if (contact.silence().compareTo(STORE_SILENCE) > 0) {
-      return now(new Unavailable(RETRY_AFTER));
+      return now(new Unavailable(RETRY_AFTER_SECONDS));
     }
     CompletableFuture<WriteResult> writing =
         writer.write(new KeyedRecord(LedgerKeys.cancellation(id), CANCELLED));
@@ -163,7 +202,7 @@
   /** An instance that may have missed records does not say that a job does not exist. */
   private CallerAnswer unknownJob() {
     boolean current = contact.silence().compareTo(STORE_SILENCE) <= 0;
-    return current ? new NoSuchJob() : new Unavailable(RETRY_AFTER);
+    return current ? new NoSuchJob() : new Unavailable(RETRY_AFTER_SECONDS);
   }
 
   private CompletableFuture<CallerAnswer> outcome(
@@ -181,7 +220,7 @@
     log(what + "-" + result, id, call.configuration, call.queue.policy().name());
     return switch (result) {
       case STORED -> new Accepted();
-      case REFUSED -> new Unavailable(RETRY_AFTER);
+      case REFUSED -> new Unavailable(RETRY_AFTER_SECONDS);
       case FENCED -> new OutcomeUnknown();
     };
   }
--- a/src/main/java/io/dragonflyturn/internal/ledger/StoreContact.java
+++ b/src/main/java/io/dragonflyturn/internal/ledger/StoreContact.java
@@ -7,6 +7,9 @@
   /** Says whether the newest records have been read. */
   boolean isListed();
 
+  /** Says whether the store has answered the last call. */
+  boolean isReachable();
+
   /** Returns how long the store has not answered; zero while it does. */
   Duration silence();
 }
--- a/src/main/java/io/dragonflyturn/internal/ledger/TopicFollower.java
+++ b/src/main/java/io/dragonflyturn/internal/ledger/TopicFollower.java
@@ -30,9 +30,9 @@
   private final EventLog events;
   private long next;
   private long retryMillis = SHORTEST_RETRY_MILLIS;
-  private long lastContactMillis;
-  private boolean reachable;
-  private boolean listed;
+  private volatile long lastContactMillis;
+  private volatile boolean reachable;
+  private volatile boolean listed;
   private int generation;
 
   /**
@@ -83,6 +83,11 @@
     return next;
   }
 
+  @Override
+  public boolean isReachable() {
+    return reachable;
+  }
+
   @Override
   public Duration silence() {
     return reachable ? Duration.ZERO : Duration.ofMillis(steady.millis() - lastContactMillis);
--- /dev/null
+++ b/src/main/java/io/dragonflyturn/internal/relay/AnswerForm.java
@@ -0,0 +1,62 @@
+package io.dragonflyturn.internal.relay;
+
+import io.dragonflyturn.internal.intake.CallerAnswer;
+import io.dragonflyturn.internal.workload.JobPhase;
+import java.util.Objects;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The answer to a call in a message.
+ *
+ * @param phase the job's phase; null in all other answers
+ * @param number the jobs that wait, or the seconds until the call may be repeated
+ * @param message what is wrong with a call that cannot be read
+ */
+record AnswerForm(Kind kind, @Nullable JobPhase phase, long number, String message) {
+  /** The kinds of answers. */
+  enum Kind {
+    ACCEPTED,
+    PHASE,
+    WAITING,
+    NO_SUCH_JOB,
+    NO_SUCH_QUEUE,
+    UNKNOWN_KEY,
+    MALFORMED,
+    UNAVAILABLE,
+    OUTCOME_UNKNOWN
+  }
+
+  static AnswerForm of(CallerAnswer answer) {
+    return switch (answer) {
+      case CallerAnswer.Accepted accepted -> plain(Kind.ACCEPTED);
+      case CallerAnswer.Phase shown -> new AnswerForm(Kind.PHASE, shown.phase(), 0, "");
+      case CallerAnswer.Waiting waiting -> new AnswerForm(Kind.WAITING, null, waiting.jobs(), "");
+      case CallerAnswer.NoSuchJob none -> plain(Kind.NO_SUCH_JOB);
+      case CallerAnswer.NoSuchQueue none -> plain(Kind.NO_SUCH_QUEUE);
+      case CallerAnswer.UnknownKey unknown -> plain(Kind.UNKNOWN_KEY);
+      case CallerAnswer.Malformed malformed ->
+          new AnswerForm(Kind.MALFORMED, null, 0, malformed.message());
+      case CallerAnswer.Unavailable unavailable ->
+          new AnswerForm(Kind.UNAVAILABLE, null, unavailable.retryAfterSeconds(), "");
+      case CallerAnswer.OutcomeUnknown unknown -> plain(Kind.OUTCOME_UNKNOWN);
+    };
+  }
+
+  private static AnswerForm plain(Kind kind) {
+    return new AnswerForm(kind, null, 0, "");
+  }
+
+  CallerAnswer answer() {
+    return switch (kind) {
+      case ACCEPTED -> new CallerAnswer.Accepted();
+      case PHASE -> new CallerAnswer.Phase(Objects.requireNonNull(phase));
+      case WAITING -> new CallerAnswer.Waiting((int) number);
+      case NO_SUCH_JOB -> new CallerAnswer.NoSuchJob();
+      case NO_SUCH_QUEUE -> new CallerAnswer.NoSuchQueue();
+      case UNKNOWN_KEY -> new CallerAnswer.UnknownKey();
+      case MALFORMED -> new CallerAnswer.Malformed(message);
+      case UNAVAILABLE -> new CallerAnswer.Unavailable(number);
+      case OUTCOME_UNKNOWN -> new CallerAnswer.OutcomeUnknown();
+    };
+  }
+}
--- /dev/null
+++ b/src/main/java/io/dragonflyturn/internal/relay/CallForm.java
@@ -0,0 +1,43 @@
+package io.dragonflyturn.internal.relay;
+
+import io.dragonflyturn.internal.intake.CallerCall;
+import io.dragonflyturn.internal.intake.CallerRequest;
+import io.dragonflyturn.internal.intake.JobContent;
+import java.util.Objects;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A call of a caller in a message.
+ *
+ * @param id the job's identifier; empty where the call is about a queue
+ * @param content what is submitted; null for all other calls
+ */
+record CallForm(Kind kind, CallerRequest request, String id, @Nullable JobContent content) {
+  /** The kinds of calls. */
+  enum Kind {
+    SUBMIT,
+    CANCEL,
+    PHASE,
+    WAITING
+  }
+
+  static CallForm of(CallerCall call) {
+    return switch (call) {
+      case CallerCall.Submit submit ->
+          new CallForm(Kind.SUBMIT, submit.request(), submit.id(), submit.content());
+      case CallerCall.Cancel cancel ->
+          new CallForm(Kind.CANCEL, cancel.request(), cancel.id(), null);
+      case CallerCall.ReadPhase read -> new CallForm(Kind.PHASE, read.request(), read.id(), null);
+      case CallerCall.CountWaiting count -> new CallForm(Kind.WAITING, count.request(), "", null);
+    };
+  }
+
+  CallerCall call() {
+    return switch (kind) {
+      case SUBMIT -> new CallerCall.Submit(request, id, Objects.requireNonNull(content));
+      case CANCEL -> new CallerCall.Cancel(request, id);
+      case PHASE -> new CallerCall.ReadPhase(request, id);
+      case WAITING -> new CallerCall.CountWaiting(request);
+    };
+  }
+}
--- /dev/null
+++ b/src/main/java/io/dragonflyturn/internal/relay/TcpPeerCalls.java
@@ -0,0 +1,60 @@
+package io.dragonflyturn.internal.relay;
+
+import io.dragonflyturn.DragonflyturnException;
+import io.dragonflyturn.ResultCode;
+import io.dragonflyturn.internal.intake.CallRelay;
+import io.dragonflyturn.internal.intake.CallerAnswer;
+import io.dragonflyturn.internal.intake.CallerCall;
+import io.dragonflyturn.internal.intake.JobDesk;
+import io.dragonflyturn.internal.protocol.Message;
+import io.dragonflyturn.internal.protocol.MessageHandler;
+import io.dragonflyturn.internal.protocol.MessagePackCodec;
+import io.dragonflyturn.internal.protocol.ProtocolClients;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+
+/** Passes calls between instances over the protocol that they speak with each other. */
+public final class TcpPeerCalls implements CallRelay.PeerCalls {
+  private final ProtocolClients clients;
+
+  /** Creates calls that use a holder of connections. */
+  public TcpPeerCalls(ProtocolClients clients) {
+    this.clients = clients;
+  }
+
+  @Override
+  public CompletableFuture<CallerAnswer> call(String address, CallerCall call, Duration timeout) {
+    return clients
+        .at(address)
+        .call(new Message.Forward(MessagePackCodec.encode(CallForm.of(call))), timeout)
+        .thenApply(TcpPeerCalls::answer);
+  }
+
+  private static CallerAnswer answer(Message message) {
+    if (message instanceof Message.Forwarded forwarded) {
+      return MessagePackCodec.decode(forwarded.answer(), AnswerForm.class).answer();
+    }
+    throw unexpected(message);
+  }
+
+  /** Returns what answers the calls that peers pass on. */
+  public static MessageHandler server(JobDesk desk, Executor loop) {
+    return message -> {
+      if (!(message instanceof Message.Forward forward)) {
+        return CompletableFuture.failedFuture(unexpected(message));
+      }
+      CallerCall call = MessagePackCodec.decode(forward.call(), CallForm.class).call();
+      return CompletableFuture.supplyAsync(() -> desk.answerForPeer(call), loop)
+          .thenCompose(answer -> answer)
+          .thenApply(
+              answer -> new Message.Forwarded(MessagePackCodec.encode(AnswerForm.of(answer))));
+    };
+  }
+
+  private static DragonflyturnException unexpected(Message message) {
+    return new DragonflyturnException(
+        ResultCode.FRAME_BROKEN,
+        "A peer sent " + message.getClass().getSimpleName() + "; check both ends' versions.");
+  }
+}
--- a/src/test/java/io/dragonflyturn/internal/intake/JobDeskTest.java
+++ b/src/test/java/io/dragonflyturn/internal/intake/JobDeskTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.dragonflyturn.DragonflyturnException;
+import io.dragonflyturn.ResultCode;
 import io.dragonflyturn.internal.dispatch.JobDirectory;
 import io.dragonflyturn.internal.dispatch.LedgerKeys;
 import io.dragonflyturn.internal.ledger.AppendOutcome;
@@ -22,8 +24,12 @@
 import java.io.PrintStream;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
@@ -48,6 +54,9 @@
           new PrintStream(OutputStream.nullOutputStream()), InstantSource.system(), "test");
   private final JobDirectory directory = new JobDirectory(InstantSource.system(), events);
   private final Store store = new Store();
+  private final Map<String, String> peers = new LinkedHashMap<>(Map.of("self", "self:1"));
+  private final Map<String, CompletableFuture<CallerAnswer>> peerAnswers = new HashMap<>();
+  private final List<String> askedPeers = new ArrayList<>();
   private Duration silence = Duration.ZERO;
 
   @AfterEach
@@ -101,7 +110,7 @@
   void should_tell_the_phase_of_a_job() throws Exception {
     know();
 
-    CallerAnswer answer = ask(desk -> desk.phase(request("key"), ID));
+    CallerAnswer answer = ask(desk -> desk.answer(new CallerCall.ReadPhase(request("key"), ID)));
 
     assertThat(answer).isEqualTo(new CallerAnswer.Phase(JobPhase.QUEUED));
   }
@@ -110,11 +119,90 @@
   void should_not_say_that_a_job_does_not_exist_while_records_may_be_missing() throws Exception {
     silence = Duration.ofSeconds(2);
 
-    CallerAnswer answer = ask(desk -> desk.phase(request("key"), ID));
+    CallerAnswer answer = ask(desk -> desk.answer(new CallerCall.ReadPhase(request("key"), ID)));
 
     assertThat(answer).isInstanceOf(CallerAnswer.Unavailable.class);
   }
 
+  @Test
+  void should_answer_by_a_peer_while_the_store_does_not_answer() throws Exception {
+    silence = Duration.ofMillis(1);
+    addPeer("one", CompletableFuture.completedFuture(new CallerAnswer.Accepted()));
+
+    assertThat(submit("key")).isEqualTo(new CallerAnswer.Accepted());
+    assertThat(store.appends).isZero();
+    assertThat(askedPeers).containsExactly("one:1");
+  }
+
+  @Test
+  void should_ask_another_peer_when_one_cannot_be_reached() throws Exception {
+    silence = Duration.ofMillis(1);
+    addPeer("gone", CompletableFuture.failedFuture(unreachable()));
+    addPeer("there", CompletableFuture.completedFuture(new CallerAnswer.Phase(JobPhase.RUNNING)));
+
+    CallerAnswer answer = ask(desk -> desk.answer(new CallerCall.ReadPhase(request("key"), ID)));
+
+    assertThat(answer).isEqualTo(new CallerAnswer.Phase(JobPhase.RUNNING));
+  }
+
+  @Test
+  void should_refuse_when_no_peer_could_be_reached() throws Exception {
+    silence = Duration.ofSeconds(2);
+    addPeer("gone", CompletableFuture.failedFuture(unreachable()));
+
+    assertThat(submit("key")).isInstanceOf(CallerAnswer.Unavailable.class);
+  }
+
+  @Test
+  void should_not_say_that_a_job_was_refused_when_a_peer_may_have_taken_it() throws Exception {
+    silence = Duration.ofSeconds(2);
+    addPeer("silent", CompletableFuture.failedFuture(unanswered()));
+
+    assertThat(submit("key")).isEqualTo(new CallerAnswer.OutcomeUnknown());
+  }
+
+  @Test
+  void should_ask_a_peer_too_when_a_write_stays_without_an_outcome() throws Exception {
+    store.neverAnswers = true;
+    addPeer("one", CompletableFuture.completedFuture(new CallerAnswer.Accepted()));
+
+    CallerRequest patient = new CallerRequest("host", "/jobs/" + ID, "key", 4_000);
+    CallerAnswer answer = ask(desk -> desk.answer(new CallerCall.Submit(patient, ID, CONTENT)));
+
+    assertThat(answer).isEqualTo(new CallerAnswer.Accepted());
+    assertThat(askedPeers).containsExactly("one:1");
+  }
+
+  @Test
+  void should_not_answer_a_peer_while_the_store_does_not_answer() throws Exception {
+    silence = Duration.ofMillis(1);
+    know();
+
+    CallerAnswer answer =
+        ask(desk -> desk.answerForPeer(new CallerCall.ReadPhase(request("key"), ID)));
+
+    assertThat(answer).isInstanceOf(CallerAnswer.Unavailable.class);
+  }
+
+  private void addPeer(String name, CompletableFuture<CallerAnswer> answer) {
+    peers.put(name, name + ":1");
+    peerAnswers.put(name + ":1", answer);
+  }
+
+  private CompletableFuture<CallerAnswer> callPeer(
+      String address, CallerCall call, Duration timeout) {
+    askedPeers.add(address);
+    return Objects.requireNonNull(peerAnswers.get(address));
+  }
+
+  private static DragonflyturnException unreachable() {
+    return new DragonflyturnException(ResultCode.PEER_UNREACHABLE, "nobody listens");
+  }
+
+  private static DragonflyturnException unanswered() {
+    return new DragonflyturnException(ResultCode.OUTCOME_UNKNOWN, "no answer came");
+  }
+
   private void know() {
     directory.apply(
         new KeyedRecord(
@@ -125,7 +213,7 @@
   }
 
   private CallerAnswer submit(String key) throws Exception {
-    return ask(desk -> desk.submit(request(key), ID, CONTENT));
+    return ask(desk -> desk.answer(new CallerCall.Submit(request(key), ID, CONTENT)));
   }
 
   private CallerAnswer ask(Question question) throws Exception {
@@ -151,6 +239,11 @@
             return true;
           }
 
+          @Override
+          public boolean isReachable() {
+            return silence.isZero();
+          }
+
           @Override
           public Duration silence() {
             return silence;
@@ -161,6 +254,7 @@
         directory,
         new SequencedWriter(store, "topic", "entry", 1, 1, true, loop, events),
         contact,
+        new CallRelay(() -> peers, "self", this::callPeer, loop, InstantSource.system(), events),
         loop,
         InstantSource.system(),
         events);
@@ -174,12 +268,13 @@
   private static final class Store implements RecordStore {
     private AppendOutcome outcome = new AppendOutcome.Rejected();
     private int appends;
+    private boolean neverAnswers;
 
     @Override
     public CompletableFuture<AppendOutcome> append(
         String topic, WriterPosition position, OptionalLong end, List<KeyedRecord> records) {
       appends++;
-      return CompletableFuture.completedFuture(outcome);
+      return neverAnswers ? new CompletableFuture<>() : CompletableFuture.completedFuture(outcome);
     }
 
     @Override
--- /dev/null
+++ b/src/test/java/io/dragonflyturn/internal/relay/RelayedFormsTest.java
@@ -0,0 +1,63 @@
+package io.dragonflyturn.internal.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.dragonflyturn.internal.intake.CallerAnswer;
+import io.dragonflyturn.internal.intake.CallerCall;
+import io.dragonflyturn.internal.intake.CallerRequest;
+import io.dragonflyturn.internal.intake.JobContent;
+import io.dragonflyturn.internal.protocol.MessagePackCodec;
+import io.dragonflyturn.internal.workload.JobPhase;
+import io.dragonflyturn.internal.workload.Recurrence;
+import io.dragonflyturn.internal.workload.StepSpecification;
+import io.dragonflyturn.internal.workload.TaskDemand;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class RelayedFormsTest {
+  private static final CallerRequest REQUEST =
+      new CallerRequest("host", "/jobs/00000000000000aa", "key", 400);
+  private static final StepSpecification STEP =
+      new StepSpecification(
+          2, new TaskDemand(1, 2, 3), 10, List.of(), true, true, true, "a", "r", 1, true, true);
+
+  static Stream<CallerCall> calls() {
+    JobContent content = new JobContent("text", List.of(STEP), new Recurrence(3, 4, 5));
+    return Stream.of(
+        new CallerCall.Submit(REQUEST, "aa", content),
+        new CallerCall.Cancel(REQUEST, "aa"),
+        new CallerCall.ReadPhase(REQUEST, "aa"),
+        new CallerCall.CountWaiting(REQUEST));
+  }
+
+  static Stream<CallerAnswer> answers() {
+    return Stream.of(
+        new CallerAnswer.Accepted(),
+        new CallerAnswer.Phase(JobPhase.RUNNING),
+        new CallerAnswer.Waiting(7),
+        new CallerAnswer.NoSuchJob(),
+        new CallerAnswer.NoSuchQueue(),
+        new CallerAnswer.UnknownKey(),
+        new CallerAnswer.Malformed("the field"),
+        new CallerAnswer.Unavailable(2),
+        new CallerAnswer.OutcomeUnknown());
+  }
+
+  @ParameterizedTest
+  @MethodSource("calls")
+  void should_read_back_a_call(CallerCall call) {
+    byte[] message = MessagePackCodec.encode(CallForm.of(call));
+
+    assertThat(MessagePackCodec.decode(message, CallForm.class).call()).isEqualTo(call);
+  }
+
+  @ParameterizedTest
+  @MethodSource("answers")
+  void should_read_back_an_answer(CallerAnswer answer) {
+    byte[] message = MessagePackCodec.encode(AnswerForm.of(answer));
+
+    assertThat(MessagePackCodec.decode(message, AnswerForm.class).answer()).isEqualTo(answer);
+  }
+}
