Judge what a run loses by its progress after the leader changed, and log who displaced it

Cause: a new leader counted each run's time from when it took over, so all looked equally young and the oldest were stopped as readily as the youngest. Test first: should_displace_the_younger_run_also_after_the_leader_changed.

run-displaced names the more urgent unit and the time lost; the scan over all sessions for a unit is gone.

--- a/src/main/java/io/dragonflyturn/internal/dispatch/ActiveJob.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/ActiveJob.java
@@ -162,6 +162,16 @@
     return units().stream().allMatch(unit -> unit.run() == null);
   }
 
+  /** Returns the run of a unit; null where it has none. */
+  @Nullable ActiveRun runOf(String unitKey) {
+    for (WorkUnit unit : units()) {
+      if (unit.key().equals(unitKey)) {
+        return unit.run();
+      }
+    }
+    return null;
+  }
+
   /** Returns the number of runs of a step on a worker. */
   int runsOn(String worker, int occurrence, int step) {
     List<List<WorkUnit>> steps = occurrences.get(occurrence);
--- a/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
@@ -398,14 +398,20 @@
     }
   }
 
-  private void displace(String key) {
-    for (WorkerSession session : fleet.sessions().values()) {
-      for (Member member : List.copyOf(session.members())) {
-        if (member.unit().key().equals(key)) {
-          driver.abort(member.run(), "displaced");
-          return;
-        }
-      }
+  private void displace(String key, String moreUrgent) {
+    UnitKey name = UnitKey.parse(key);
+    ActiveJob job = name == null ? null : jobs.get(name.job());
+    ActiveRun run = job == null ? null : job.runOf(key);
+    if (run != null) {
+      context
+          .events()
+          .event("run-displaced")
+          .with("unit", key)
+          .with("by", moreUrgent)
+          .with("lostMillis", run.members().getFirst().ranMillis(context.now()))
+          .with("term", term)
+          .write();
+      driver.abort(run, "displaced");
     }
   }
 }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/Member.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/Member.java
@@ -10,10 +10,12 @@
   private final ActiveRun run;
   private final WorkerSession session;
   private final String task;
+  private final boolean adopted;
   private State state;
   private int startTries;
   private boolean stopWanted;
   private long confirmedMillis;
+  private long ranBeforeMillis;
   private long stopTakenMillis;
   private int percent = -1;
   private long progressMillis;
@@ -23,6 +25,7 @@
     this.session = session;
     this.task = task;
     this.state = state;
+    this.adopted = state == State.UNCERTAIN;
   }
 
   /** How much is known of a member. */
@@ -101,6 +104,10 @@
 
   /** Takes progress that the worker lists. */
   void progress(int newPercent, long nowMillis) {
+    boolean isFirst = percent < 0;
+    if (isFirst && adopted) {
+      ranBeforeMillis = unit().step().estimateMillis() * newPercent / WHOLE_PERCENT;
+    }
     if (newPercent != percent) {
       percent = newPercent;
       progressMillis = nowMillis;
@@ -111,9 +118,12 @@
     return percent;
   }
 
-  /** Returns how long the member has run as far as this leader knows, in milliseconds. */
+  /**
+   * Returns how long the member has run, in milliseconds; what it ran under an earlier leader is
+   * judged by the progress that it had when this one took over.
+   */
   long ranMillis(long nowMillis) {
-    return confirmedMillis == 0 ? 0 : nowMillis - confirmedMillis;
+    return confirmedMillis == 0 ? 0 : ranBeforeMillis + nowMillis - confirmedMillis;
   }
 
   /**
--- a/src/main/java/io/dragonflyturn/internal/dispatch/PlacementPlan.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/PlacementPlan.java
@@ -2,18 +2,20 @@
 
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /**
  * What the planner decided in one round.
  *
  * @param placed the units to start, in order
- * @param stopped the keys of the units to stop, so that more urgent ones can start
+ * @param stopped the units to stop, each with the more urgent unit that gets its room
  * @param waiting why each other unit waits
  * @param searches for how many units the fleet was searched
  */
 record PlacementPlan(
-    List<Placed> placed, Set<String> stopped, Map<String, WaitCause> waiting, int searches) {
+    List<Placed> placed,
+    Map<String, String> stopped,
+    Map<String, WaitCause> waiting,
+    int searches) {
   /**
    * A unit with a worker for each of its tasks.
    *
--- a/src/main/java/io/dragonflyturn/internal/dispatch/PlacementPlanner.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/PlacementPlanner.java
@@ -11,7 +11,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -27,7 +26,7 @@
 final class PlacementPlanner {
   private final Map<String, Space> spaces = new LinkedHashMap<>();
   private final List<Placed> placed = new ArrayList<>();
-  private final Set<String> stopped = new LinkedHashSet<>();
+  private final Map<String, String> stopped = new LinkedHashMap<>();
   private final Map<String, WaitCause> waiting = new LinkedHashMap<>();
   private final Set<String> keptForUrgent;
   private final RoomMemory memory = new RoomMemory();
@@ -110,13 +109,13 @@
     if (!request.mayDisplace()) {
       return WaitCause.NO_ROOM;
     }
-    reclaimed.forEach(space -> stopFor(space, request.priority()));
+    reclaimed.forEach(space -> stopFor(space, request));
     return WaitCause.STOPPING_OTHERS;
   }
 
-  private void stopFor(Space space, int priority) {
-    for (Occupant victim : space.victimsFor(TaskDemand.NONE, priority)) {
-      if (stopped.add(victim.unit())) {
+  private void stopFor(Space space, PlacementRequest request) {
+    for (Occupant victim : space.victimsFor(TaskDemand.NONE, request.priority())) {
+      if (stopped.putIfAbsent(victim.unit(), request.unit()) == null) {
         spaces.values().forEach(each -> each.leave(victim.unit()));
       }
     }
--- a/src/test/java/io/dragonflyturn/internal/dispatch/DispatcherTest.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/DispatcherTest.java
@@ -4,10 +4,13 @@
 
 import io.dragonflyturn.internal.dispatch.DispatchFixture.Instance;
 import io.dragonflyturn.internal.workload.JobPhase;
+import io.dragonflyturn.internal.workload.TaskDemand;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 class DispatcherTest {
+  private static final TaskDemand HALF = new TaskDemand(16_000, 32_000, 4);
+
   private final DispatchFixture fixture = new DispatchFixture();
   private Instance first;
   private Instance second;
@@ -60,6 +63,22 @@
     assertThat(fixture.workers.violations()).isEmpty();
   }
 
+  @Test
+  void should_displace_the_younger_run_also_after_the_leader_changed() {
+    fixture.workers.setWorkMillis(10_000);
+    fixture.submit("old", 2, DispatchFixture.step(2, false, HALF));
+    fixture.advance(2_000);
+    fixture.submit("young", 2, DispatchFixture.step(2, false, HALF));
+    fixture.advance(500);
+    fixture.leader().kill();
+    fixture.advance(2_500);
+
+    fixture.submit("urgent", 0, DispatchFixture.step(1, false, HALF));
+    fixture.advance(400);
+
+    assertThat(fixture.workers.runningTasks()).contains("urgent.0.0.0", "old.0.0.0", "old.0.0.1");
+  }
+
   @Test
   void should_move_work_off_a_worker_that_is_cut_off_once_its_lease_has_ended() {
     fixture.workers.setWorkMillis(5_000);
--- a/src/test/java/io/dragonflyturn/internal/dispatch/PlacementPlannerTest.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/PlacementPlannerTest.java
@@ -62,7 +62,7 @@
         plan(List.of(busy), List.of(gang("urgent.0.0", urgent, 0), task("later.0.0.0", later)));
 
     assertThat(plan.placed()).isEmpty();
-    assertThat(plan.stopped()).containsExactly("old.0.0.0");
+    assertThat(plan.stopped()).containsOnlyKeys("old.0.0.0");
     assertThat(plan.waiting())
         .containsEntry("urgent.0.0", WaitCause.STOPPING_OTHERS)
         .containsEntry("later.0.0.0", WaitCause.NO_ROOM);
@@ -119,7 +119,7 @@
 
     PlacementPlan plan = plan(List.of(old, young), List.of(gang("urgent.0.0", urgent, 0)));
 
-    assertThat(plan.stopped()).containsExactly("young.0.0.0");
+    assertThat(plan.stopped()).containsOnlyKeys("young.0.0.0");
   }
 
   @Test
@@ -207,7 +207,7 @@
 
     PlacementPlan plan = plan(List.of(busy), List.of(gang("urgent.0.0", urgent, 0)));
 
-    assertThat(plan.stopped()).containsExactly("small.0.0.0");
+    assertThat(plan.stopped()).containsOnlyKeys("small.0.0.0");
   }
 
   @Test
@@ -227,7 +227,7 @@
 
     PlacementPlan plan = plan(List.of(one, two), List.of(gang("urgent.0.0", urgent, 0)));
 
-    assertThat(plan.stopped()).containsExactly("cheap.0.0.0");
+    assertThat(plan.stopped()).containsOnlyKeys("cheap.0.0.0");
   }
 
   private static PlacementPlan plan(List<WorkerSpace> fleet, List<PlacementRequest> requests) {
