--- a/src/test/java/io/dragonflyturn/scenario/Relay.java
+++ b/src/test/java/io/dragonflyturn/scenario/Relay.java
@@ -9,6 +9,7 @@
 import java.net.Socket;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** Relays TCP connections on loopback, and cuts them one way or both. */
 public final class Relay implements AutoCloseable {
@@ -19,6 +20,7 @@
   private final ServerSocket listener;
   private final InetSocketAddress target;
   private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+  private final AtomicInteger generation = new AtomicInteger();
   private volatile Mode mode = Mode.OPEN;
   private volatile long delayMillis;
 
@@ -58,6 +60,11 @@
     }
   }
 
+  /** Lets all open connections fall silent for good; new ones work. */
+  public void silenceOpenConnections() {
+    generation.incrementAndGet();
+  }
+
   /** Delays each piece of data in both directions. */
   public void delay(long millis) {
     delayMillis = millis;
@@ -108,6 +115,7 @@
 
   private void copy(Socket from, Socket to, boolean answers) {
     byte[] buffer = new byte[BUFFER_BYTES];
+    int born = generation.get();
     try (from;
         to) {
       InputStream input = from.getInputStream();
@@ -115,7 +123,8 @@
       for (int count = input.read(buffer); count >= 0; count = input.read(buffer)) {
         Thread.sleep(delayMillis);
         awaitSound();
-        if (!answers || mode == Mode.OPEN) {
+        boolean passes = !answers || mode == Mode.OPEN;
+        if (passes && born == generation.get()) {
           output.write(buffer, 0, count);
         }
       }
