--- a/src/test/java/io/dragonflyturn/command/PagesTest.java
+++ b/src/test/java/io/dragonflyturn/command/PagesTest.java
@@ -108,7 +108,7 @@
 
   private static List<Path> pages() throws IOException {
     try (Stream<Path> docs = Files.walk(Path.of("docs"))) {
-      Stream<Path> root = Stream.of(Path.of("README.md"), Path.of("CONTRIBUTING.md"));
+      Stream<Path> root = Stream.of(Path.of("README.md"), Path.of("DEVELOPERS.md"));
       return Stream.concat(root, docs.filter(path -> path.toString().endsWith(".md"))).toList();
     }
   }
