Judge no call by an older configuration than an answer of this instance has shown

Change: a call that is passed on names the oldest version that may judge it, the answer names the version that did, and an instance whose own version is older than one it has shown passes calls on until it has caught up, or refuses.

Tests first (three in JobDeskTest).

--- a/src/main/java/io/dragonflyturn/internal/intake/CallRelay.java
+++ b/src/main/java/io/dragonflyturn/internal/intake/CallRelay.java
@@ -70,13 +70,20 @@
     /**
      * Returns the peer's answer; fails with {@link ResultCode#PEER_UNREACHABLE} where nothing was
      * sent.
+     *
+     * @param leastConfiguration the oldest version of the configuration that may judge the call
      */
-    CompletableFuture<CallerAnswer> call(String address, CallerCall call, Duration timeout);
+    CompletableFuture<PeerAnswer> call(
+        String address, CallerCall call, long leastConfiguration, Duration timeout);
   }
 
-  /** Returns a peer's answer to a call; empty where none has taken the call. */
-  CompletableFuture<Optional<CallerAnswer>> relay(CallerCall call) {
-    Attempt attempt = new Attempt(call, candidates().iterator());
+  /**
+   * Returns a peer's answer to a call; empty where none has taken the call.
+   *
+   * @param leastConfiguration the oldest version of the configuration that may judge the call
+   */
+  CompletableFuture<Optional<PeerAnswer>> relay(CallerCall call, long leastConfiguration) {
+    Attempt attempt = new Attempt(call, leastConfiguration, candidates().iterator());
     if (steady.millis() < hopelessUntilMillis) {
       attempt.result.complete(Optional.empty());
     } else {
@@ -97,12 +104,15 @@
   /** One call on its way through the peers. */
   private final class Attempt {
     private final CallerCall call;
+    private final long leastConfiguration;
     private final Iterator<Map.Entry<String, String>> remaining;
-    private final CompletableFuture<Optional<CallerAnswer>> result = new CompletableFuture<>();
+    private final CompletableFuture<Optional<PeerAnswer>> result = new CompletableFuture<>();
     private boolean mayHaveTakenEffect;
 
-    Attempt(CallerCall call, Iterator<Map.Entry<String, String>> remaining) {
+    Attempt(
+        CallerCall call, long leastConfiguration, Iterator<Map.Entry<String, String>> remaining) {
       this.call = call;
+      this.leastConfiguration = leastConfiguration;
       this.remaining = remaining;
     }
 
@@ -113,7 +123,7 @@
       }
       Map.Entry<String, String> peer = remaining.next();
       calls
-          .call(peer.getValue(), call, TRY_TIMEOUT)
+          .call(peer.getValue(), call, leastConfiguration, TRY_TIMEOUT)
           .whenCompleteAsync(
               LoggedCallback.of(
                   events,
@@ -122,9 +132,9 @@
               loop);
     }
 
-    private void answered(String peer, @Nullable CallerAnswer answer, @Nullable Throwable failure) {
+    private void answered(String peer, @Nullable PeerAnswer answer, @Nullable Throwable failure) {
       log(peer, answer == null ? String.valueOf(failure) : answer.toString());
-      if (answer != null && !(answer instanceof CallerAnswer.Unavailable)) {
+      if (answer != null && !(answer.answer() instanceof CallerAnswer.Unavailable)) {
         failedMillis.remove(peer);
         result.complete(Optional.of(answer));
         return;
@@ -148,7 +158,7 @@
       boolean changes = call instanceof CallerCall.Submit || call instanceof CallerCall.Cancel;
       result.complete(
           mayHaveTakenEffect && changes
-              ? Optional.of(new CallerAnswer.OutcomeUnknown())
+              ? Optional.of(new PeerAnswer(new CallerAnswer.OutcomeUnknown(), leastConfiguration))
               : Optional.empty());
     }
   }
--- a/src/main/java/io/dragonflyturn/internal/intake/JobDesk.java
+++ b/src/main/java/io/dragonflyturn/internal/intake/JobDesk.java
@@ -55,6 +55,9 @@
   private final EventLog events;
   private final Map<String, CompletableFuture<WriteResult>> submitting = new HashMap<>();
 
+  /** The newest version of the configuration that an answer of this instance was judged by. */
+  private long shownConfiguration;
+
   /** Creates a desk over the jobs that this instance knows. */
   public JobDesk(
       Supplier<@Nullable CallerConfiguration> configuration,
@@ -77,21 +80,49 @@
 
   /** Answers a call; a peer answers it where this instance does not reach the store. */
   public CompletableFuture<CallerAnswer> answer(CallerCall call) {
-    if (contact.isReachable()) {
+    if (contact.isReachable() && configurationVersion() >= shownConfiguration) {
       return answerHere(call, true);
     }
     return relay
-        .relay(call)
-        .thenCompose(relayed -> relayed.map(JobDesk::now).orElseGet(() -> answerHere(call, false)));
+        .relay(call, leastConfiguration())
+        .thenCompose(relayed -> relayed.map(this::shown).orElseGet(() -> answerWithoutPeers(call)));
   }
 
-  /** Answers a call that a peer passed on; it is not passed on again. */
-  public CompletableFuture<CallerAnswer> answerForPeer(CallerCall call) {
-    return contact.isReachable()
+  /** An instance that has shown a newer configuration than its own judges no call by its own. */
+  private CompletableFuture<CallerAnswer> answerWithoutPeers(CallerCall call) {
+    return configurationVersion() >= shownConfiguration
         ? answerHere(call, false)
         : now(new Unavailable(RETRY_AFTER_SECONDS));
   }
 
+  private CompletableFuture<CallerAnswer> shown(PeerAnswer answer) {
+    shownConfiguration = Math.max(shownConfiguration, answer.configuration());
+    return now(answer.answer());
+  }
+
+  private long configurationVersion() {
+    CallerConfiguration current = configuration.get();
+    return current == null ? 0 : current.version();
+  }
+
+  private long leastConfiguration() {
+    return Math.max(shownConfiguration, configurationVersion());
+  }
+
+  /**
+   * Answers a call that a peer passed on; it is not passed on again.
+   *
+   * @param leastConfiguration the oldest version of the configuration that may judge the call
+   */
+  public CompletableFuture<PeerAnswer> answerForPeer(CallerCall call, long leastConfiguration) {
+    long version = configurationVersion();
+    boolean current =
+        contact.isReachable() && version >= Math.max(leastConfiguration, shownConfiguration);
+    CompletableFuture<CallerAnswer> answer =
+        current ? answerHere(call, false) : now(new Unavailable(RETRY_AFTER_SECONDS));
+    return answer.thenApply(each -> new PeerAnswer(each, version));
+  }
+
   private CompletableFuture<CallerAnswer> answerHere(CallerCall call, boolean hedges) {
     return switch (call) {
       case CallerCall.Submit submit ->
@@ -122,10 +153,12 @@
       return;
     }
     relay
-        .relay(call)
+        .relay(call, leastConfiguration())
         .thenAccept(
             relayed ->
-                relayed.filter(each -> each instanceof Accepted).ifPresent(answer::complete));
+                relayed
+                    .filter(each -> each.answer() instanceof Accepted)
+                    .ifPresent(each -> shown(each).thenAccept(answer::complete)));
   }
 
   private CompletableFuture<CallerAnswer> judge(CallerRequest request, Action action) {
--- a/src/main/java/io/dragonflyturn/internal/relay/CallForm.java
+++ b/src/main/java/io/dragonflyturn/internal/relay/CallForm.java
@@ -9,10 +9,16 @@
 /**
  * A call of a caller in a message.
  *
+ * @param leastConfiguration the oldest version of the configuration that may judge the call
  * @param id the job's identifier; empty where the call is about a queue
  * @param content what is submitted; null for all other calls
  */
-record CallForm(Kind kind, CallerRequest request, String id, @Nullable JobContent content) {
+record CallForm(
+    Kind kind,
+    long leastConfiguration,
+    CallerRequest request,
+    String id,
+    @Nullable JobContent content) {
   /** The kinds of calls. */
   enum Kind {
     SUBMIT,
@@ -21,14 +27,16 @@
     WAITING
   }
 
-  static CallForm of(CallerCall call) {
+  static CallForm of(CallerCall call, long least) {
     return switch (call) {
       case CallerCall.Submit submit ->
-          new CallForm(Kind.SUBMIT, submit.request(), submit.id(), submit.content());
+          new CallForm(Kind.SUBMIT, least, submit.request(), submit.id(), submit.content());
       case CallerCall.Cancel cancel ->
-          new CallForm(Kind.CANCEL, cancel.request(), cancel.id(), null);
-      case CallerCall.ReadPhase read -> new CallForm(Kind.PHASE, read.request(), read.id(), null);
-      case CallerCall.CountWaiting count -> new CallForm(Kind.WAITING, count.request(), "", null);
+          new CallForm(Kind.CANCEL, least, cancel.request(), cancel.id(), null);
+      case CallerCall.ReadPhase read ->
+          new CallForm(Kind.PHASE, least, read.request(), read.id(), null);
+      case CallerCall.CountWaiting count ->
+          new CallForm(Kind.WAITING, least, count.request(), "", null);
     };
   }
 
--- a/src/main/java/io/dragonflyturn/internal/relay/TcpPeerCalls.java
+++ b/src/main/java/io/dragonflyturn/internal/relay/TcpPeerCalls.java
@@ -3,9 +3,9 @@
 import io.dragonflyturn.DragonflyturnException;
 import io.dragonflyturn.ResultCode;
 import io.dragonflyturn.internal.intake.CallRelay;
-import io.dragonflyturn.internal.intake.CallerAnswer;
 import io.dragonflyturn.internal.intake.CallerCall;
 import io.dragonflyturn.internal.intake.JobDesk;
+import io.dragonflyturn.internal.intake.PeerAnswer;
 import io.dragonflyturn.internal.protocol.Message;
 import io.dragonflyturn.internal.protocol.MessageHandler;
 import io.dragonflyturn.internal.protocol.MessagePackCodec;
@@ -24,14 +24,17 @@
   }
 
   @Override
-  public CompletableFuture<CallerAnswer> call(String address, CallerCall call, Duration timeout) {
+  public CompletableFuture<PeerAnswer> call(
+      String address, CallerCall call, long leastConfiguration, Duration timeout) {
     return clients
         .at(address)
-        .call(new Message.Forward(MessagePackCodec.encode(CallForm.of(call))), timeout)
+        .call(
+            new Message.Forward(MessagePackCodec.encode(CallForm.of(call, leastConfiguration))),
+            timeout)
         .thenApply(TcpPeerCalls::answer);
   }
 
-  private static CallerAnswer answer(Message message) {
+  private static PeerAnswer answer(Message message) {
     if (message instanceof Message.Forwarded forwarded) {
       return MessagePackCodec.decode(forwarded.answer(), AnswerForm.class).answer();
     }
@@ -44,8 +47,9 @@
       if (!(message instanceof Message.Forward forward)) {
         return CompletableFuture.failedFuture(unexpected(message));
       }
-      CallerCall call = MessagePackCodec.decode(forward.call(), CallForm.class).call();
-      return CompletableFuture.supplyAsync(() -> desk.answerForPeer(call), loop)
+      CallForm form = MessagePackCodec.decode(forward.call(), CallForm.class);
+      return CompletableFuture.supplyAsync(
+              () -> desk.answerForPeer(form.call(), form.leastConfiguration()), loop)
           .thenCompose(answer -> answer)
           .thenApply(
               answer -> new Message.Forwarded(MessagePackCodec.encode(AnswerForm.of(answer))));
--- a/src/test/java/io/dragonflyturn/internal/intake/JobDeskTest.java
+++ b/src/test/java/io/dragonflyturn/internal/intake/JobDeskTest.java
@@ -57,6 +57,8 @@
   private final Map<String, String> peers = new LinkedHashMap<>(Map.of("self", "self:1"));
   private final Map<String, CompletableFuture<CallerAnswer>> peerAnswers = new HashMap<>();
   private final List<String> askedPeers = new ArrayList<>();
+  private long peerConfiguration = 1;
+  private long askedLeastConfiguration;
   private Duration silence = Duration.ZERO;
 
   @AfterEach
@@ -179,7 +181,50 @@
     know();
 
     CallerAnswer answer =
-        ask(desk -> desk.answerForPeer(new CallerCall.ReadPhase(request("key"), ID)));
+        ask(
+            desk ->
+                desk.answerForPeer(new CallerCall.ReadPhase(request("key"), ID), 0)
+                    .thenApply(PeerAnswer::answer));
+
+    assertThat(answer).isInstanceOf(CallerAnswer.Unavailable.class);
+  }
+
+  @Test
+  void should_judge_no_call_by_an_older_configuration_than_a_peer_has_shown_for_it()
+      throws Exception {
+    know();
+    silence = Duration.ofMillis(1);
+    peerConfiguration = 5;
+    addPeer("one", CompletableFuture.completedFuture(new CallerAnswer.Accepted()));
+    JobDesk desk = desk();
+    ask(unused -> desk.answer(new CallerCall.Cancel(request("key"), ID)));
+
+    silence = Duration.ZERO;
+    peers.remove("one");
+    CallerAnswer answer = ask(unused -> desk.answer(new CallerCall.ReadPhase(request("key"), ID)));
+
+    assertThat(answer).isInstanceOf(CallerAnswer.Unavailable.class);
+  }
+
+  @Test
+  void should_ask_peers_for_no_older_configuration_than_its_own() throws Exception {
+    silence = Duration.ofMillis(1);
+    addPeer("one", CompletableFuture.completedFuture(new CallerAnswer.Accepted()));
+
+    submit("key");
+
+    assertThat(askedLeastConfiguration).isEqualTo(1);
+  }
+
+  @Test
+  void should_not_answer_a_peer_that_has_shown_a_newer_configuration() throws Exception {
+    know();
+
+    CallerAnswer answer =
+        ask(
+            desk ->
+                desk.answerForPeer(new CallerCall.ReadPhase(request("key"), ID), 2)
+                    .thenApply(PeerAnswer::answer));
 
     assertThat(answer).isInstanceOf(CallerAnswer.Unavailable.class);
   }
@@ -189,10 +234,12 @@
     peerAnswers.put(name + ":1", answer);
   }
 
-  private CompletableFuture<CallerAnswer> callPeer(
-      String address, CallerCall call, Duration timeout) {
+  private CompletableFuture<PeerAnswer> callPeer(
+      String address, CallerCall call, long leastConfiguration, Duration timeout) {
     askedPeers.add(address);
-    return Objects.requireNonNull(peerAnswers.get(address));
+    askedLeastConfiguration = leastConfiguration;
+    return Objects.requireNonNull(peerAnswers.get(address))
+        .thenApply(answer -> new PeerAnswer(answer, peerConfiguration));
   }
 
   private static DragonflyturnException unreachable() {
--- a/src/test/java/io/dragonflyturn/internal/relay/RelayedFormsTest.java
+++ b/src/test/java/io/dragonflyturn/internal/relay/RelayedFormsTest.java
@@ -6,6 +6,7 @@
 import io.dragonflyturn.internal.intake.CallerCall;
 import io.dragonflyturn.internal.intake.CallerRequest;
 import io.dragonflyturn.internal.intake.JobContent;
+import io.dragonflyturn.internal.intake.PeerAnswer;
 import io.dragonflyturn.internal.protocol.MessagePackCodec;
 import io.dragonflyturn.internal.workload.JobPhase;
 import io.dragonflyturn.internal.workload.Recurrence;
@@ -48,7 +49,7 @@
   @ParameterizedTest
   @MethodSource("calls")
   void should_read_back_a_call(CallerCall call) {
-    byte[] message = MessagePackCodec.encode(CallForm.of(call));
+    byte[] message = MessagePackCodec.encode(CallForm.of(call, 7));
 
     assertThat(MessagePackCodec.decode(message, CallForm.class).call()).isEqualTo(call);
   }
@@ -56,8 +57,9 @@
   @ParameterizedTest
   @MethodSource("answers")
   void should_read_back_an_answer(CallerAnswer answer) {
-    byte[] message = MessagePackCodec.encode(AnswerForm.of(answer));
+    PeerAnswer given = new PeerAnswer(answer, 7);
+    byte[] message = MessagePackCodec.encode(AnswerForm.of(given));
 
-    assertThat(MessagePackCodec.decode(message, AnswerForm.class).answer()).isEqualTo(answer);
+    assertThat(MessagePackCodec.decode(message, AnswerForm.class).answer()).isEqualTo(given);
   }
 }
