Say that a job does not exist only while the store answers, and lately

An instance had stood still for 4.4 s; as it went on, its reads timed out, which set the silence of the store to zero, it had not yet read of any peer, and for half a second it answered 'no such job' from its old view.

Change: unknownJob asks whether the store is reached now; a follower whose last answer is more than a second overdue is not current.

--- a/src/main/java/io/dragonflyturn/internal/intake/JobDesk.java
+++ b/src/main/java/io/dragonflyturn/internal/intake/JobDesk.java
@@ -234,8 +234,7 @@
 
   /** An instance that may have missed records does not say that a job does not exist. */
   private CallerAnswer unknownJob() {
-    boolean current = contact.silence().compareTo(STORE_SILENCE) <= 0;
-    return current ? new NoSuchJob() : new Unavailable(RETRY_AFTER_SECONDS);
+    return contact.isReachable() ? new NoSuchJob() : new Unavailable(RETRY_AFTER_SECONDS);
   }
 
   private CompletableFuture<CallerAnswer> outcome(
--- a/src/main/java/io/dragonflyturn/internal/ledger/TopicFollower.java
+++ b/src/main/java/io/dragonflyturn/internal/ledger/TopicFollower.java
@@ -17,6 +17,9 @@
  * <p>Runs on the event loop that it is given; its methods are called there.
  */
 public final class TopicFollower implements StoreContact {
+  /** An answer that is later than this tells of a process that stood still, in milliseconds. */
+  private static final long ANSWER_MARGIN_MILLIS = 1_000;
+
   private static final long SHORTEST_RETRY_MILLIS = 100;
   private static final long LONGEST_RETRY_MILLIS = 400;
 
@@ -85,12 +88,16 @@
 
   @Override
   public boolean isReachable() {
-    return reachable;
+    return reachable && sinceContactMillis() <= wait.toMillis() + ANSWER_MARGIN_MILLIS;
+  }
+
+  private long sinceContactMillis() {
+    return steady.millis() - lastContactMillis;
   }
 
   @Override
   public Duration silence() {
-    return reachable ? Duration.ZERO : Duration.ofMillis(steady.millis() - lastContactMillis);
+    return isReachable() ? Duration.ZERO : Duration.ofMillis(sinceContactMillis());
   }
 
   private void list(int current, String after, Map<String, byte[]> gathered, long firstEnd) {
--- a/src/test/java/io/dragonflyturn/internal/intake/JobDeskTest.java
+++ b/src/test/java/io/dragonflyturn/internal/intake/JobDeskTest.java
@@ -126,6 +126,15 @@
     assertThat(answer).isInstanceOf(CallerAnswer.Unavailable.class);
   }
 
+  @Test
+  void should_not_say_that_a_job_does_not_exist_as_soon_as_the_store_is_lost() throws Exception {
+    silence = Duration.ofMillis(1);
+
+    CallerAnswer answer = ask(desk -> desk.answer(new CallerCall.Cancel(request("key"), ID)));
+
+    assertThat(answer).isInstanceOf(CallerAnswer.Unavailable.class);
+  }
+
   @Test
   void should_answer_by_a_peer_while_the_store_does_not_answer() throws Exception {
     silence = Duration.ofMillis(1);
