Read the change once more: one piece of code for what stood twice, and less on the hot path

- A worker's capacity is taken from its registration instead of being summed up again from its runs for every waiting unit; whether a unit fits empty workers no longer works out losses and sorts.
WorkerSession no longer keeps a second sum of what is used.
Hedging lies in one place, without a flag passed through four cases.
- Dropped: a constant that only shifted a sort key, a parameter that was always the same, accessors and a return value that nobody used.

--- a/src/main/java/io/dragonflyturn/internal/dispatch/ActiveJob.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/ActiveJob.java
@@ -54,16 +54,13 @@
     ending = true;
   }
 
-  /** Opens the occurrences that are due, and returns whether there is a new one. */
-  boolean openDue(long timeOfDayMillis) {
-    boolean opened = false;
+  /** Opens the occurrences that are due. */
+  void openDue(long timeOfDayMillis) {
     while (nextOccurrence < submission().recurrence().occurrences()
         && submission().recurrence().dueMillis(nextOccurrence) <= timeOfDayMillis) {
       open(nextOccurrence);
       nextOccurrence++;
-      opened = true;
     }
-    return opened;
   }
 
   private List<List<WorkUnit>> open(int occurrence) {
--- a/src/main/java/io/dragonflyturn/internal/dispatch/Dispatcher.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/Dispatcher.java
@@ -79,7 +79,7 @@
       election.depose("store-silent");
     }
     if (!stopped) {
-      election.tick(contact.isListed() && contact.silence().isZero());
+      election.tick(contact.isListed() && contact.isReachable());
     }
     context
         .loop()
--- a/src/main/java/io/dragonflyturn/internal/dispatch/JobDirectory.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/JobDirectory.java
@@ -49,11 +49,6 @@
     return jobs.values();
   }
 
-  /** Returns who leads. */
-  public LeadershipRecord leadership() {
-    return leadership;
-  }
-
   /** Returns where peers reach each instance that ever stored it, by the instance's name. */
   public Map<String, String> instanceAddresses() {
     return instanceAddresses;
--- a/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
@@ -1,18 +1,15 @@
 package io.dragonflyturn.internal.dispatch;
 
-import io.dragonflyturn.internal.dispatch.PlacementPlan.Placed;
 import io.dragonflyturn.internal.ledger.KeyedRecord;
 import io.dragonflyturn.internal.ledger.SequencedWriter;
 import io.dragonflyturn.internal.ledger.WriteResult;
 import io.dragonflyturn.internal.workload.JobPhase;
 import io.dragonflyturn.internal.workload.RunRecord;
 import io.dragonflyturn.internal.workload.WorkloadCodec;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -22,11 +19,6 @@
 final class LeaderTerm implements RunDriver.Listener {
   private static final long BEAT_MILLIS = 500;
 
-  /** Planning takes at most one part in so many of the event loop's time. */
-  private static final int ROUND_TIME_PARTS = 4;
-
-  private static final long LONGEST_ROUND_PAUSE_MILLIS = 200;
-
   /** How long an ended job can be asked for, in milliseconds. */
   private static final long KEEP_ENDED_MILLIS = 300_000;
 
@@ -35,18 +27,15 @@
   private final Runnable onFenced;
   private final SequencedWriter jobsWriter;
   private final SequencedWriter runsWriter;
-  private final WorkerTrust trust;
-  private final UrgentHeadroom headroom = new UrgentHeadroom();
   private final RunDriver driver;
   private final SessionKeeper keeper;
   private final WorkerFleet fleet;
+  private final PlacementRounds rounds;
   private final Map<String, ActiveJob> jobs = new LinkedHashMap<>();
   private final StoredRuns storedRuns;
   private @Nullable Map<String, RunRecord> loadedRuns;
   private boolean ready;
   private boolean closed;
-  private boolean roundRequested;
-  private long nextRoundMillis;
   private long lastWriteMillis;
   private final long startedMillis;
 
@@ -59,10 +48,11 @@
     jobsWriter = writer(LedgerKeys.JOBS_TOPIC, nextSequence);
     long first = ThreadLocalRandom.current().nextInt(1, Integer.MAX_VALUE / 2);
     runsWriter = writer(LedgerKeys.RUNS_TOPIC, first);
-    trust = new WorkerTrust(context.steady());
+    WorkerTrust trust = new WorkerTrust(context.steady());
     driver = new RunDriver(context, term, runsWriter, trust, this);
     keeper = new SessionKeeper(context, term, driver, trust, this);
     fleet = new WorkerFleet(context, driver, keeper, this::requestRound);
+    rounds = new PlacementRounds(context, term, runsWriter, fleet, jobs, trust, driver);
     storedRuns = new StoredRuns(context, this::loaded);
   }
 
@@ -96,6 +86,7 @@
   /** Stops without giving anything up; what runs goes on under its leases. */
   void close() {
     closed = true;
+    rounds.close();
     driver.close();
     keeper.close();
     storedRuns.close();
@@ -143,7 +134,7 @@
         .with("tookMillis", context.now() - startedMillis)
         .write();
     fleet.kickAll();
-    requestRound();
+    rounds.open();
   }
 
   private void activate(JobEntry entry) {
@@ -346,72 +337,6 @@
   }
 
   private void requestRound() {
-    if (roundRequested || closed || !ready) {
-      return;
-    }
-    roundRequested = true;
-    long pauseMillis = nextRoundMillis - context.now();
-    if (pauseMillis > 0) {
-      context.loop().schedule(this::timedRound, pauseMillis, TimeUnit.MILLISECONDS);
-    } else {
-      context.loop().execute(this::timedRound);
-    }
-  }
-
-  private void timedRound() {
-    roundRequested = false;
-    if (closed) {
-      return;
-    }
-    long startMillis = context.now();
-    round();
-    long endMillis = context.now();
-    long pauseMillis = (endMillis - startMillis) * (ROUND_TIME_PARTS - 1);
-    nextRoundMillis = endMillis + Math.min(pauseMillis, LONGEST_ROUND_PAUSE_MILLIS);
-    context.metrics().roundMillis().update(endMillis - startMillis);
-  }
-
-  private void round() {
-    PlanningRound round =
-        new PlanningRound(context, fleet.sessions(), jobs.values(), trust, headroom);
-    Map<String, WorkUnit> waiting = round.waitingUnits();
-    if (waiting.isEmpty() || runsWriter.isTroubled()) {
-      return;
-    }
-    PlacementPlan plan = round.plan(waiting.values());
-    for (Placed placed : plan.placed()) {
-      begin(waiting.get(placed.unit()), placed.workers());
-    }
-    plan.stopped().forEach(this::displace);
-  }
-
-  private void begin(@Nullable WorkUnit unit, List<String> workers) {
-    List<WorkerSession> places = new ArrayList<>();
-    for (String worker : workers) {
-      WorkerSession session = fleet.sessions().get(worker);
-      if (session != null) {
-        places.add(session);
-      }
-    }
-    if (unit != null && places.size() == workers.size()) {
-      driver.start(unit, places);
-    }
-  }
-
-  private void displace(String key, String moreUrgent) {
-    UnitKey name = UnitKey.parse(key);
-    ActiveJob job = name == null ? null : jobs.get(name.job());
-    ActiveRun run = job == null ? null : job.runOf(key);
-    if (run != null) {
-      context
-          .events()
-          .event("run-displaced")
-          .with("unit", key)
-          .with("by", moreUrgent)
-          .with("lostMillis", run.members().getFirst().ranMillis(context.now()))
-          .with("term", term)
-          .write();
-      driver.abort(run, "displaced");
-    }
+    rounds.request();
   }
 }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/PlacementPlanner.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/PlacementPlanner.java
@@ -89,7 +89,7 @@
     }
     List<Space> others =
         eligible.stream().filter(each -> !keptForUrgent.contains(each.id())).toList();
-    return fill(request, others, Space::capacity) == null ? eligible : others;
+    return fitsEmpty(request, others) ? others : eligible;
   }
 
   /** Keeps room for a unit by stopping runs of less urgent jobs, or by waiting for such stops. */
@@ -143,8 +143,16 @@
   /** Says whether a rack that could hold the unit, were it empty, is worth waiting for. */
   private static boolean waitsForRack(PlacementRequest request, List<Space> candidates) {
     return request.mayWaitForRack()
-        && racks(candidates).stream()
-            .anyMatch(rack -> fill(request, rack, Space::capacity) != null);
+        && racks(candidates).stream().anyMatch(rack -> fitsEmpty(request, rack));
+  }
+
+  /** Says whether all tasks of a unit would fit if nothing else ran on the workers. */
+  private static boolean fitsEmpty(PlacementRequest request, List<Space> candidates) {
+    int copies = 0;
+    for (Space space : candidates) {
+      copies += space.copies(request, space.worker.capacity());
+    }
+    return copies >= request.tasks();
   }
 
   private static Collection<List<Space>> racks(List<Space> spaces) {
@@ -214,8 +222,9 @@
 
     Space(WorkerSpace worker) {
       this.worker = worker;
-      this.free = worker.free();
+      this.free = worker.capacity();
       for (Occupant occupant : worker.occupants()) {
+        take(occupant.demand());
         if (occupant.leaving()) {
           leaving.add(occupant.unit());
         }
@@ -244,10 +253,6 @@
       leaving.add(unit);
     }
 
-    TaskDemand capacity() {
-      return worker.capacity();
-    }
-
     TaskDemand freeWhenLeft() {
       TaskDemand sum = free;
       for (Occupant occupant : worker.occupants()) {
--- a/src/main/java/io/dragonflyturn/internal/dispatch/PlanningRound.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/PlanningRound.java
@@ -125,7 +125,7 @@
         worker.rack(),
         worker.labels(),
         trust.isTrusted(worker.id()),
-        session.free(),
+        worker.capacity(),
         occupants);
   }
 
--- a/src/main/java/io/dragonflyturn/internal/dispatch/UrgentHeadroom.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/UrgentHeadroom.java
@@ -13,7 +13,7 @@
  *
  * <p>Answers urgent gangs that keep arriving at a fleet that a backlog fills: without such room
  * each of them stops the runs that took the room of the one before. As much is kept as the urgent
- * jobs of one service asked for at once in the last seconds; none where nothing urgent arrived.
+ * jobs asked for at once in the last seconds; none where nothing urgent arrived.
  */
 final class UrgentHeadroom {
   /** How long a demand is remembered, in milliseconds: a few times an urgent run. */
@@ -42,7 +42,7 @@
   }
 
   /** Returns the most accelerators that were noted within the window. */
-  long accelerators() {
+  private long accelerators() {
     return peaks.stream().mapToLong(Peak::accelerators).max().orElse(0);
   }
 
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkerSession.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerSession.java
@@ -1,7 +1,6 @@
 package io.dragonflyturn.internal.dispatch;
 
 import io.dragonflyturn.internal.fleet.WorkerRegistration;
-import io.dragonflyturn.internal.workload.TaskDemand;
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -30,7 +29,6 @@
   private boolean holding;
   private boolean kickScheduled;
   private int silentHolds;
-  private TaskDemand used = TaskDemand.NONE;
 
   WorkerSession(WorkerRegistration registration, long nowMillis) {
     this.registration = registration;
@@ -111,17 +109,10 @@
 
   void add(Member member) {
     members.put(member.task(), member);
-    used = used.plus(member.unit().step().demand());
   }
 
   void remove(Member member) {
-    if (members.remove(member.task(), member)) {
-      used = used.minus(member.unit().step().demand());
-    }
-  }
-
-  TaskDemand free() {
-    return registration.capacity().minus(used);
+    members.remove(member.task(), member);
   }
 
   long seenEnd() {
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkerSpace.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerSpace.java
@@ -11,7 +11,7 @@
  * @param rack its rack
  * @param labels its labels
  * @param trusted whether its recent runs give no reason to avoid it
- * @param free what no run occupies
+ * @param capacity what it offers while nothing runs on it
  * @param occupants the runs on it, one for each member
  */
 record WorkerSpace(
@@ -20,17 +20,8 @@
     String rack,
     List<String> labels,
     boolean trusted,
-    TaskDemand free,
+    TaskDemand capacity,
     List<Occupant> occupants) {
-  /** Returns what the worker offers while nothing runs on it. */
-  TaskDemand capacity() {
-    TaskDemand sum = free;
-    for (Occupant occupant : occupants) {
-      sum = sum.plus(occupant.demand());
-    }
-    return sum;
-  }
-
   /**
    * A member of a run on a worker.
    *
--- a/src/main/java/io/dragonflyturn/internal/intake/CallRelay.java
+++ b/src/main/java/io/dragonflyturn/internal/intake/CallRelay.java
@@ -4,6 +4,7 @@
 import io.dragonflyturn.ResultCode;
 import io.dragonflyturn.internal.logging.EventLog;
 import io.dragonflyturn.internal.logging.LoggedCallback;
+import io.dragonflyturn.internal.protocol.Failures;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
@@ -14,7 +15,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.Executor;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
@@ -23,13 +23,12 @@
  * Passes calls on to peers while this instance does not reach the store. Used on the event loop
  * only.
  *
- * <p>A peer that failed is tried last for some seconds. Every call may be passed on more than once,
- * since a job is joined by its identifier.
+ * <p>Peers that failed are tried after the others, the latest last. Every call may be passed on
+ * more than once, since a job is joined by its identifier.
  */
 public final class CallRelay {
   private static final Duration TRY_TIMEOUT = Duration.ofMillis(600);
   private static final int MOST_TRIES = 3;
-  private static final long AVOID_MILLIS = 5_000;
 
   /** How long no call is passed on after no peer could serve one, in milliseconds. */
   private static final long HOPELESS_MILLIS = 400;
@@ -139,7 +138,7 @@
         result.complete(Optional.of(answer));
         return;
       }
-      failedMillis.put(peer, steady.millis() + AVOID_MILLIS);
+      failedMillis.put(peer, steady.millis());
       mayHaveTakenEffect |= answer == null && !neverSent(failure);
       next();
     }
@@ -164,7 +163,7 @@
   }
 
   private static boolean neverSent(@Nullable Throwable failure) {
-    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    Throwable cause = failure == null ? null : Failures.cause(failure);
     return cause instanceof DragonflyturnException known
         && known.code() == ResultCode.PEER_UNREACHABLE;
   }
--- a/src/main/java/io/dragonflyturn/internal/intake/JobDesk.java
+++ b/src/main/java/io/dragonflyturn/internal/intake/JobDesk.java
@@ -81,7 +81,7 @@
   /** Answers a call; a peer answers it where this instance does not reach the store. */
   public CompletableFuture<CallerAnswer> answer(CallerCall call) {
     if (contact.isReachable() && configurationVersion() >= shownConfiguration) {
-      return answerHere(call, true);
+      return hedged(call, answerHere(call));
     }
     return relay
         .relay(call, leastConfiguration())
@@ -91,7 +91,7 @@
   /** An instance that has shown a newer configuration than its own judges no call by its own. */
   private CompletableFuture<CallerAnswer> answerWithoutPeers(CallerCall call) {
     return configurationVersion() >= shownConfiguration
-        ? answerHere(call, false)
+        ? answerHere(call)
         : now(new Unavailable(RETRY_AFTER_SECONDS));
   }
 
@@ -119,18 +119,15 @@
     boolean current =
         contact.isReachable() && version >= Math.max(leastConfiguration, shownConfiguration);
     CompletableFuture<CallerAnswer> answer =
-        current ? answerHere(call, false) : now(new Unavailable(RETRY_AFTER_SECONDS));
+        current ? answerHere(call) : now(new Unavailable(RETRY_AFTER_SECONDS));
     return answer.thenApply(each -> new PeerAnswer(each, version));
   }
 
-  private CompletableFuture<CallerAnswer> answerHere(CallerCall call, boolean hedges) {
+  private CompletableFuture<CallerAnswer> answerHere(CallerCall call) {
     return switch (call) {
-      case CallerCall.Submit submit ->
-          judge(submit.request(), known -> hedged(submit, hedges, store(known, submit)));
+      case CallerCall.Submit submit -> judge(submit.request(), known -> store(known, submit));
       case CallerCall.Cancel cancel ->
-          judge(
-              cancel.request(),
-              known -> hedged(cancel, hedges, storeCancellation(known, cancel.id())));
+          judge(cancel.request(), known -> storeCancellation(known, cancel.id()));
       case CallerCall.ReadPhase read -> judge(read.request(), known -> now(phaseOf(read.id())));
       case CallerCall.CountWaiting count ->
           judge(
@@ -141,8 +138,8 @@
 
   /** Asks a peer too where a write stays without an outcome; the first success counts. */
   private CompletableFuture<CallerAnswer> hedged(
-      CallerCall call, boolean hedges, CompletableFuture<CallerAnswer> answer) {
-    if (hedges && !answer.isDone()) {
+      CallerCall call, CompletableFuture<CallerAnswer> answer) {
+    if (!answer.isDone()) {
       loop.schedule(() -> askPeer(call, answer), HEDGE_MILLIS, TimeUnit.MILLISECONDS);
     }
     return answer;
--- a/src/main/java/io/dragonflyturn/internal/ledger/TopicFollower.java
+++ b/src/main/java/io/dragonflyturn/internal/ledger/TopicFollower.java
@@ -81,11 +81,6 @@
     return listed;
   }
 
-  /** Returns the offset of the next record. */
-  public long nextOffset() {
-    return next;
-  }
-
   @Override
   public boolean isReachable() {
     return reachable && sinceContactMillis() <= wait.toMillis() + ANSWER_MARGIN_MILLIS;
--- a/src/test/java/io/dragonflyturn/internal/dispatch/PlacementPlannerTest.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/PlacementPlannerTest.java
@@ -239,11 +239,8 @@
   }
 
   private static WorkerSpace occupied(String id, Occupant... occupants) {
-    TaskDemand free = WHOLE;
-    for (Occupant occupant : occupants) {
-      free = free.minus(occupant.demand());
-    }
-    return new WorkerSpace(id, "service", "r1", List.of("a", "r1"), true, free, List.of(occupants));
+    return new WorkerSpace(
+        id, "service", "r1", List.of("a", "r1"), true, WHOLE, List.of(occupants));
   }
 
   private static PlacementRequest task(String key, StepSpecification step) {
