Go on after a stored record that cannot be decoded

Cause: a record with an unexpected type threw MessageTypeException, which ended the reading of its topic for good: on every instance for the jobs topic, and before the leader was ready for the runs topic.

--- a/src/main/java/io/dragonflyturn/internal/dispatch/JobDirectory.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/JobDirectory.java
@@ -79,7 +79,7 @@
     Map<String, byte[]> otherRecords = new HashMap<>();
     latestValues.forEach(
         (key, value) -> {
-          if (key.charAt(0) == LedgerKeys.SUBMISSION) {
+          if (LedgerKeys.isSubmission(key)) {
             apply(new KeyedRecord(key, value));
           } else {
             otherRecords.put(key, value);
@@ -112,7 +112,7 @@
     }
     String id = change.key().substring(1);
     if (value == null) {
-      if (change.key().charAt(0) == LedgerKeys.SUBMISSION) {
+      if (LedgerKeys.isSubmission(change.key())) {
         jobs.remove(id);
       }
       return;
--- a/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
@@ -1,5 +1,6 @@
 package io.dragonflyturn.internal.dispatch;
 
+import io.dragonflyturn.internal.dispatch.RunLoader.LoadedRuns;
 import io.dragonflyturn.internal.ledger.KeyedRecord;
 import io.dragonflyturn.internal.ledger.SequencedWriter;
 import io.dragonflyturn.internal.ledger.WriteResult;
@@ -33,7 +34,7 @@
   private final PlacementLoop placementLoop;
   private final Map<String, ActiveJob> jobs = new LinkedHashMap<>();
   private final RunLoader runLoader;
-  private @Nullable Map<String, RunRecord> loadedRuns;
+  private @Nullable LoadedRuns loadedRuns;
   private boolean ready;
   private boolean closed;
   private long lastWriteMillis;
@@ -113,20 +114,21 @@
     return ready;
   }
 
-  private void runsLoaded(Map<String, RunRecord> runs) {
+  private void runsLoaded(LoadedRuns runs) {
     loadedRuns = runs;
     startIfLoaded();
   }
 
   /** Starts executing jobs once both the stored runs and the workers are known. */
   private void startIfLoaded() {
-    Map<String, RunRecord> runs = loadedRuns;
+    LoadedRuns runs = loadedRuns;
     if (ready || closed || runs == null || !context.workerFeed().isSynced()) {
       return;
     }
     ready = true;
     context.directory().jobs().forEach(this::activateIfUnfinished);
-    runs.forEach(this::restore);
+    runs.readable().forEach(this::restore);
+    runs.unreadableKeys().forEach(this::suspendJobOf);
     jobs.values().forEach(this::endIfCancelled);
     List.copyOf(jobs.values()).forEach(this::updateJob);
     context
@@ -134,7 +136,7 @@
         .event("leadership-ready")
         .with("term", term)
         .with("jobs", jobs.size())
-        .with("runs", runs.size())
+        .with("runs", runs.readable().size())
         .with("workers", fleet.sessions().size())
         .with("tookMillis", context.nowMillis() - startedMillis)
         .write();
@@ -170,6 +172,14 @@
     }
   }
 
+  /** Starts nothing of a job with an unreadable run, because that run may still be active. */
+  private void suspendJobOf(String key) {
+    UnitKey unitKey = UnitKey.parse(key);
+    if (unitKey != null && jobs.remove(unitKey.job()) != null) {
+      context.events().event("job-suspended").with("job", unitKey.job()).write();
+    }
+  }
+
   /** Reactivates an ended job that may still have runs, so that these are stopped. */
   private @Nullable ActiveJob restoreEnded(String id, RunRecord stored) {
     JobEntry entry = context.directory().job(id);
--- a/src/main/java/io/dragonflyturn/internal/dispatch/LedgerKeys.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LedgerKeys.java
@@ -26,6 +26,11 @@
     return SUBMISSION + job;
   }
 
+  /** Returns whether a key is that of a job's submission record. */
+  static boolean isSubmission(String key) {
+    return !key.isEmpty() && key.charAt(0) == SUBMISSION;
+  }
+
   /** Returns the key of a job's cancellation. */
   public static String cancellation(String job) {
     return CANCELLATION + job;
--- a/src/main/java/io/dragonflyturn/internal/dispatch/RunLoader.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/RunLoader.java
@@ -5,8 +5,11 @@
 import io.dragonflyturn.internal.logging.LoggedCallback;
 import io.dragonflyturn.internal.workload.RunRecord;
 import io.dragonflyturn.internal.workload.WorkloadCodec;
+import java.io.UncheckedIOException;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
@@ -20,23 +23,23 @@
   private static final long RETRY_DELAY_MILLIS = 100;
 
   private final DispatchContext context;
-  private final Consumer<Map<String, RunRecord>> onLoaded;
+  private final Consumer<LoadedRuns> onLoaded;
   private boolean closed;
 
-  RunLoader(DispatchContext context, Consumer<Map<String, RunRecord>> onLoaded) {
+  RunLoader(DispatchContext context, Consumer<LoadedRuns> onLoaded) {
     this.context = context;
     this.onLoaded = onLoaded;
   }
 
   void start() {
-    loadAfter("", new HashMap<>());
+    loadAfter("", new LoadedRuns(new HashMap<>(), new HashSet<>()));
   }
 
   void close() {
     closed = true;
   }
 
-  private void loadAfter(String afterKey, Map<String, RunRecord> loadedRuns) {
+  private void loadAfter(String afterKey, LoadedRuns loadedRuns) {
     if (closed) {
       return;
     }
@@ -49,7 +52,7 @@
             context.eventLoop());
   }
 
-  private void pageLoaded(Map<String, RunRecord> loadedRuns, RecordStore.@Nullable Page page) {
+  private void pageLoaded(LoadedRuns loadedRuns, RecordStore.@Nullable Page page) {
     if (closed) {
       return;
     }
@@ -60,7 +63,7 @@
     for (KeyedRecord stored : page.records()) {
       byte @Nullable [] value = stored.value();
       if (value != null && !stored.key().equals(LedgerKeys.LEADER)) {
-        loadedRuns.put(stored.key(), WorkloadCodec.decodeRun(value));
+        decode(loadedRuns, stored.key(), value);
       }
     }
     if (page.hasMore() && !page.records().isEmpty()) {
@@ -69,4 +72,26 @@
       onLoaded.accept(loadedRuns);
     }
   }
+
+  private void decode(LoadedRuns loadedRuns, String key, byte[] value) {
+    try {
+      loadedRuns.readable().put(key, WorkloadCodec.decodeRun(value));
+    } catch (UncheckedIOException unreadable) {
+      loadedRuns.unreadableKeys().add(key);
+      context
+          .events()
+          .event("record-unreadable")
+          .with("key", key)
+          .with("cause", unreadable)
+          .write();
+    }
+  }
+
+  /**
+   * The stored runs.
+   *
+   * @param readable the runs by unit key
+   * @param unreadableKeys the keys of records that cannot be decoded; their runs may be active
+   */
+  record LoadedRuns(Map<String, RunRecord> readable, Set<String> unreadableKeys) {}
 }
--- a/src/main/java/io/dragonflyturn/internal/workload/WorkloadCodec.java
+++ b/src/main/java/io/dragonflyturn/internal/workload/WorkloadCodec.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
 
 /** Encodes jobs and runs as MessagePack for storage, and decodes them. */
@@ -106,13 +107,15 @@
   /**
    * Returns the value that an action unpacks from bytes.
    *
-   * @throws UncheckedIOException if reading the bytes fails
+   * @throws UncheckedIOException if the bytes do not hold the expected values
    */
   public static <T> T unpack(byte[] bytes, UnpackAction<T> action) {
     try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
       return action.read(unpacker);
     } catch (IOException failure) {
       throw new UncheckedIOException(failure);
+    } catch (MessagePackException | IndexOutOfBoundsException unexpectedValue) {
+      throw new UncheckedIOException(new IOException("Unexpected stored value", unexpectedValue));
     }
   }
 
@@ -175,7 +178,7 @@
   private static <T> List<T> unpackList(MessageUnpacker unpacker, UnpackAction<T> element)
       throws IOException {
     int size = unpacker.unpackArrayHeader();
-    List<T> values = new ArrayList<>(size);
+    List<T> values = new ArrayList<>();
     for (int i = 0; i < size; i++) {
       values.add(element.read(unpacker));
     }
