Measure the age of what was read from when it was requested, for the configuration too

Cause: an answer that had waited while the process was paused counted as fresh contact, so calls were decided on configuration and jobs that were as old as the pause; and the age of the configuration's topic was not looked at. Change: contact counts from the time of the request; after a pause or an outage the next read does not wait for news; callers' answers need both topics to be current. Tests failed before: TopicConsumerTest, answers requested before a pause.

--- /dev/null
+++ b/src/main/java/io/dragonflyturn/internal/ledger/CombinedStoreStatus.java
@@ -0,0 +1,35 @@
+package io.dragonflyturn.internal.ledger;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * The status of several topics that are used together: as outdated as the most outdated of them.
+ */
+public final class CombinedStoreStatus implements StoreStatus {
+  private final List<StoreStatus> topics;
+
+  /** Creates the combined status of at least one topic. */
+  public CombinedStoreStatus(StoreStatus... topics) {
+    this.topics = List.of(topics);
+  }
+
+  @Override
+  public boolean isLoaded() {
+    return topics.stream().allMatch(StoreStatus::isLoaded);
+  }
+
+  @Override
+  public boolean isReachable() {
+    return topics.stream().allMatch(StoreStatus::isReachable);
+  }
+
+  @Override
+  public Duration unreachableDuration() {
+    return topics.stream()
+        .map(StoreStatus::unreachableDuration)
+        .max(Comparator.naturalOrder())
+        .orElse(Duration.ZERO);
+  }
+}
--- a/src/main/java/io/dragonflyturn/internal/ledger/TopicConsumer.java
+++ b/src/main/java/io/dragonflyturn/internal/ledger/TopicConsumer.java
@@ -17,8 +17,8 @@
  * were not read yet, the consumer starts again from the latest values.
  *
  * <p>{@link #start} and {@link #stop} must be called on the event loop passed to the constructor;
- * the listener is called there too. The methods of {@link StoreStatus} may be called from any
- * thread.
+ * the listener is called there too. An exception of the listener is logged, and reading goes on
+ * with the next record. The methods of {@link StoreStatus} may be called from any thread.
  */
 public final class TopicConsumer implements StoreStatus {
   /**
@@ -115,6 +115,7 @@
       String afterKey,
       Map<String, byte[]> latestValues,
       long firstEndOffset) {
+    long sentMillis = monotonicClock.millis();
     store
         .readLatest(topic, afterKey)
         .whenCompleteAsync(
@@ -122,12 +123,19 @@
                 events,
                 "listAnswered",
                 (page, failure) ->
-                    handlePage(expectedGeneration, latestValues, firstEndOffset, page, failure)),
+                    handlePage(
+                        expectedGeneration,
+                        sentMillis,
+                        latestValues,
+                        firstEndOffset,
+                        page,
+                        failure)),
             eventLoop);
   }
 
   private void handlePage(
       int expectedGeneration,
+      long sentMillis,
       Map<String, byte[]> latestValues,
       long firstEndOffset,
       RecordStore.@Nullable Page page,
@@ -139,7 +147,7 @@
       retry(failure, () -> readLatestPage(expectedGeneration, "", new HashMap<>(), -1));
       return;
     }
-    recordContact();
+    recordContact(sentMillis);
     page.records().forEach(keyedRecord -> put(latestValues, keyedRecord));
     long startOffset = firstEndOffset < 0 ? page.end() : firstEndOffset;
     if (page.hasMore() && !page.records().isEmpty()) {
@@ -148,11 +156,16 @@
     }
     nextOffset = startOffset;
     loaded = true;
-    listener.reset(latestValues);
-    listener.advancedTo(nextOffset);
+    notifyListener("reset", () -> listener.reset(latestValues));
+    notifyListener("advanced", () -> listener.advancedTo(nextOffset));
     read(expectedGeneration);
   }
 
+  /** Calls the listener; its exceptions are logged, so that one record cannot end the reading. */
+  private void notifyListener(String callback, Runnable call) {
+    LoggedCallback.of(events, topic + ' ' + callback, call).run();
+  }
+
   private static void put(Map<String, byte[]> latestValues, KeyedRecord change) {
     if (change.value() == null) {
       latestValues.remove(change.key());
@@ -165,18 +178,23 @@
     if (expectedGeneration != generation) {
       return;
     }
+    long sentMillis = monotonicClock.millis();
+    Duration wait = isReachable() ? maxWait : Duration.ZERO;
     store
-        .read(topic, nextOffset, maxWait)
+        .read(topic, nextOffset, wait)
         .whenCompleteAsync(
             LoggedCallback.of(
                 events,
                 "readAnswered",
-                (slice, failure) -> handleSlice(expectedGeneration, slice, failure)),
+                (slice, failure) -> handleSlice(expectedGeneration, sentMillis, slice, failure)),
             eventLoop);
   }
 
   private void handleSlice(
-      int expectedGeneration, RecordStore.@Nullable Slice slice, @Nullable Throwable failure) {
+      int expectedGeneration,
+      long sentMillis,
+      RecordStore.@Nullable Slice slice,
+      @Nullable Throwable failure) {
     if (expectedGeneration != generation) {
       return;
     }
@@ -184,17 +202,17 @@
       retry(failure, () -> read(expectedGeneration));
       return;
     }
-    recordContact();
+    recordContact(sentMillis);
     if (slice.trimmed()) {
       events.event("records-trimmed").with("topic", topic).with("offset", nextOffset).write();
       readLatestPage(expectedGeneration, "", new HashMap<>(), -1);
       return;
     }
     for (KeyedRecord change : slice.records()) {
-      listener.apply(change);
+      notifyListener(change.key(), () -> listener.apply(change));
     }
     nextOffset += slice.records().size();
-    listener.advancedTo(nextOffset);
+    notifyListener("advanced", () -> listener.advancedTo(nextOffset));
     long pauseMillis = pollPause.get().toMillis();
     if (pauseMillis == 0 || slice.records().isEmpty()) {
       read(expectedGeneration);
@@ -203,13 +221,17 @@
     }
   }
 
-  private void recordContact() {
+  /**
+   * Records that the store has answered. The answer may have been delayed, for example because this
+   * process was paused, so it only shows what the store held when the request was sent.
+   */
+  private void recordContact(long sentMillis) {
     if (!reachable) {
       events.event("store-reached").with("topic", topic).write();
     }
     reachable = true;
     retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
-    lastContactMillis = monotonicClock.millis();
+    lastContactMillis = sentMillis;
   }
 
   private void retry(@Nullable Throwable failure, Runnable attempt) {
--- /dev/null
+++ b/src/test/java/io/dragonflyturn/internal/ledger/CombinedStoreStatusTest.java
@@ -0,0 +1,33 @@
+package io.dragonflyturn.internal.ledger;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+
+class CombinedStoreStatusTest {
+  private static final StoreStatus CURRENT = new FixedStatus(true, true, Duration.ZERO);
+
+  @Test
+  void should_be_as_outdated_as_the_most_outdated_topic() {
+    StoreStatus status =
+        new CombinedStoreStatus(
+            CURRENT,
+            new FixedStatus(true, false, Duration.ofSeconds(3)),
+            new FixedStatus(true, false, Duration.ofSeconds(2)));
+
+    assertThat(status.isReachable()).isFalse();
+    assertThat(status.unreachableDuration()).isEqualTo(Duration.ofSeconds(3));
+  }
+
+  @Test
+  void should_be_loaded_once_all_topics_are() {
+    StoreStatus loading = new FixedStatus(false, true, Duration.ZERO);
+
+    assertThat(new CombinedStoreStatus(CURRENT, loading).isLoaded()).isFalse();
+    assertThat(new CombinedStoreStatus(CURRENT, CURRENT).isLoaded()).isTrue();
+  }
+
+  private record FixedStatus(boolean isLoaded, boolean isReachable, Duration unreachableDuration)
+      implements StoreStatus {}
+}
--- a/src/test/java/io/dragonflyturn/internal/ledger/TopicConsumerTest.java
+++ b/src/test/java/io/dragonflyturn/internal/ledger/TopicConsumerTest.java
@@ -11,10 +11,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -23,6 +27,8 @@
   private final ScheduledThreadPoolExecutor eventLoop = new ScheduledThreadPoolExecutor(1);
   private final AtomicLong nowMillis = new AtomicLong(50_000);
   private final InstantSource monotonicClock = () -> Instant.ofEpochMilli(nowMillis.get());
+  private final PendingReadsStore store = new PendingReadsStore();
+  private final RecordingListener listener = new RecordingListener();
   private TopicConsumer consumer;
 
   @BeforeEach
@@ -31,9 +37,9 @@
         new EventLog(new PrintStream(OutputStream.nullOutputStream()), monotonicClock, "test");
     consumer =
         new TopicConsumer(
-            new EmptyTopicStore(),
+            store,
             "topic",
-            new IgnoringListener(),
+            listener,
             eventLoop,
             Duration.ofSeconds(1),
             () -> Duration.ZERO,
@@ -66,8 +72,52 @@
     assertThat(consumer.unreachableDuration()).isEqualTo(Duration.ofSeconds(4));
   }
 
-  /** Reports an empty topic, and leaves every read pending. */
-  private static final class EmptyTopicStore implements RecordStore {
+  @Test
+  void should_stay_unreachable_when_an_answer_arrives_that_was_requested_before_a_pause()
+      throws Exception {
+    nowMillis.addAndGet(4_000);
+
+    store.answerNextRead();
+    eventLoop.submit(() -> {}).get(5, TimeUnit.SECONDS);
+
+    assertThat(consumer.isReachable()).isFalse();
+  }
+
+  @Test
+  void should_be_reachable_again_with_the_first_answer_that_was_requested_after_a_pause()
+      throws Exception {
+    nowMillis.addAndGet(4_000);
+    store.answerNextRead();
+
+    store.answerNextRead();
+    eventLoop.submit(() -> {}).get(5, TimeUnit.SECONDS);
+
+    assertThat(consumer.isReachable()).isTrue();
+    assertThat(store.waits).startsWith(Duration.ofSeconds(1), Duration.ZERO);
+  }
+
+  @Test
+  void should_read_on_after_a_record_that_the_listener_fails_on() throws Exception {
+    store.answerNextRead("first", RecordingListener.POISON, "second");
+    store.answerNextRead("third");
+
+    eventLoop.submit(() -> {}).get(5, TimeUnit.SECONDS);
+    assertThat(listener.appliedKeys).containsExactly("first", "second", "third");
+  }
+
+  /** Reports an empty topic, and leaves every read pending until the test answers it. */
+  private static final class PendingReadsStore implements RecordStore {
+    private final BlockingQueue<CompletableFuture<Slice>> reads = new LinkedBlockingQueue<>();
+    private final List<Duration> waits = new CopyOnWriteArrayList<>();
+
+    void answerNextRead(String... keys) throws InterruptedException {
+      List<KeyedRecord> records =
+          Stream.of(keys).map(key -> new KeyedRecord(key, new byte[] {1})).toList();
+      CompletableFuture<Slice> pending = reads.poll(5, TimeUnit.SECONDS);
+      assertThat(pending).as("a read is sent").isNotNull();
+      pending.complete(new Slice(false, records));
+    }
+
     @Override
     public CompletableFuture<AppendOutcome> append(
         String topic, AppendId appendId, OptionalLong end, List<KeyedRecord> records) {
@@ -76,7 +126,10 @@
 
     @Override
     public CompletableFuture<Slice> read(String topic, long fromOffset, Duration wait) {
-      return new CompletableFuture<>();
+      CompletableFuture<Slice> pending = new CompletableFuture<>();
+      waits.add(wait);
+      reads.add(pending);
+      return pending;
     }
 
     @Override
@@ -85,12 +138,22 @@
     }
   }
 
-  private static final class IgnoringListener implements TopicListener {
+  /** Records the keys of all records, and fails on one of them. */
+  private static final class RecordingListener implements TopicListener {
+    static final String POISON = "poison";
+
+    private final List<String> appliedKeys = new CopyOnWriteArrayList<>();
+
     @Override
     public void reset(Map<String, byte[]> latestValues) {}
 
     @Override
-    public void apply(KeyedRecord change) {}
+    public void apply(KeyedRecord change) {
+      if (change.key().equals(POISON)) {
+        throw new IllegalArgumentException("an unexpected record");
+      }
+      appliedKeys.add(change.key());
+    }
 
     @Override
     public void advancedTo(long nextOffset) {}
