Open new connections after a call that got no answer in time

Cause: after a timeout on a silenced connection, the next call took another idle connection that was just as silent, to the store and the workers as well as between instances.

--- a/src/main/java/io/dragonflyturn/internal/protocol/ProtocolClient.java
+++ b/src/main/java/io/dragonflyturn/internal/protocol/ProtocolClient.java
@@ -15,13 +15,15 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.concurrent.locks.ReentrantLock;
 import org.jspecify.annotations.Nullable;
 
 /**
- * A client of one peer. It connects on first use and reconnects after the connection is lost.
+ * A client of one peer. It connects on first use and reconnects after the connection is lost, or
+ * after a call on it got no answer in time, because such a connection may be dead.
  *
  * <p>A call fails with {@link ResultCode#PEER_UNREACHABLE} if no connection could be made, in which
  * case nothing was sent, and with {@link ResultCode#OUTCOME_UNKNOWN} if the connection was lost or
@@ -100,7 +102,7 @@
     }
     long correlation = lastCorrelation.incrementAndGet();
     target.pendingCalls.put(correlation, answer);
-    answer.whenComplete((done, failure) -> target.pendingCalls.remove(correlation));
+    answer.whenComplete((done, failure) -> target.callEnded(correlation, failure));
     try {
       target.stream.write(new Frame(correlation, false, message));
     } catch (IOException broken) {
@@ -115,7 +117,7 @@
     connectLock.lock();
     try {
       Connection current = connection;
-      if (current != null && !current.ended) {
+      if (current != null && !current.ended && !current.retired) {
         return current;
       }
       if (closed) {
@@ -162,6 +164,9 @@
     private final Map<Long, CompletableFuture<Message>> pendingCalls = new ConcurrentHashMap<>();
     private volatile boolean ended;
 
+    /** Whether no further calls are sent on this connection. */
+    private volatile boolean retired;
+
     Connection(FrameStream stream) {
       this.stream = stream;
     }
@@ -188,6 +193,17 @@
       }
     }
 
+    /** Retires the connection after an unanswered call; closes it after its last call. */
+    void callEnded(long correlation, @Nullable Throwable failure) {
+      pendingCalls.remove(correlation);
+      if (failure instanceof TimeoutException) {
+        retired = true;
+      }
+      if (retired && pendingCalls.isEmpty()) {
+        fail();
+      }
+    }
+
     void fail() {
       ended = true;
       stream.close();
--- a/src/main/java/io/dragonflyturn/internal/protocol/ProtocolServer.java
+++ b/src/main/java/io/dragonflyturn/internal/protocol/ProtocolServer.java
@@ -109,8 +109,8 @@
   }
 
   private void answer(FrameStream stream, Frame frame) {
-    handler
-        .handle(frame.message())
+    CompletableFuture.completedFuture(frame.message())
+        .thenCompose(handler::handle)
         .exceptionally(ProtocolServer::failureMessage)
         .thenAccept(message -> reply(stream, frame, message));
   }
--- a/src/test/java/io/dragonflyturn/internal/protocol/ProtocolTest.java
+++ b/src/test/java/io/dragonflyturn/internal/protocol/ProtocolTest.java
@@ -5,6 +5,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.dragonflyturn.ResultCode;
+import io.dragonflyturn.scenario.Relay;
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -111,6 +112,38 @@
     assertThat(answerAfterReconnect()).isEqualTo(content(2));
   }
 
+  @Test
+  void should_use_a_new_connection_after_a_call_that_got_no_answer() {
+    try (Relay relay = new Relay(server.port());
+        ProtocolClient relayed = new ProtocolClient(loopback(relay.port()), metrics)) {
+      relayed.call(new Message.Forward(content(1)), TIMEOUT).join();
+      relay.silenceOpenConnections();
+      assertThatThrownBy(
+          () -> relayed.call(new Message.Forward(content(2)), Duration.ofMillis(200)).join());
+
+      Message answer = relayed.call(new Message.Forward(content(3)), TIMEOUT).join();
+
+      assertThat(((Message.Forwarded) answer).answer()).isEqualTo(content(3));
+    }
+  }
+
+  @Test
+  void should_answer_a_message_that_the_handler_fails_on() {
+    server.close();
+    server =
+        new ProtocolServer(
+            loopback(server.port()),
+            message -> {
+              throw new IllegalStateException("an unexpected message");
+            },
+            metrics);
+    server.start();
+
+    assertThatThrownBy(() -> client.call(new Message.Acknowledged(), TIMEOUT).join())
+        .cause()
+        .hasFieldOrPropertyWithValue("code", ResultCode.INTERNAL_ERROR);
+  }
+
   @Test
   void should_release_its_port_before_close_returns() {
     for (int restart = 0; restart < 200; restart++) {
