Deliver the refusal of a body that is too large to a caller that is still sending it

Change: the rest of the body is read and discarded, up to 4 MiB. Test failed before with a broken pipe: ApiHandlerTest.

--- a/src/main/java/io/dragonflyturn/internal/http/BodyReader.java
+++ b/src/main/java/io/dragonflyturn/internal/http/BodyReader.java
@@ -14,13 +14,18 @@
 
 /**
  * Reads the complete body of a call asynchronously, with a limit on its size and on the time to
- * receive it.
+ * receive it. The rest of a body that is too large is read and discarded up to a second limit,
+ * since a caller that is still sending when the connection is closed cannot receive the answer.
  */
 public final class BodyReader {
+  private static final int MAXIMUM_DISCARDED_BYTES = 4 << 20;
+
   private final Request request;
   private final int maximumBytes;
   private final ByteArrayOutputStream content = new ByteArrayOutputStream();
   private final CompletableFuture<byte[]> body = new CompletableFuture<>();
+  private boolean tooLarge;
+  private long discardedBytes;
 
   private BodyReader(Request request, int maximumBytes) {
     this.request = request;
@@ -38,10 +43,12 @@
   public static CompletableFuture<byte[]> read(
       Request request, int maximumBytes, Duration timeout, RequestTimer timer) {
     BodyReader reader = new BodyReader(request, maximumBytes);
-    if (request.getHeaders().getLongField(HttpHeader.CONTENT_LENGTH) > maximumBytes) {
+    long announcedBytes = request.getHeaders().getLongField(HttpHeader.CONTENT_LENGTH);
+    if (announcedBytes > MAXIMUM_DISCARDED_BYTES) {
       reader.failTooLarge();
       return reader.body;
     }
+    reader.tooLarge = announcedBytes > maximumBytes;
     RequestTimer.Cancellable expiry = timer.schedule(timeout, () -> reader.failSlow(timeout));
     reader.body.whenComplete((bytes, failure) -> expiry.cancel());
     reader.readAvailable();
@@ -64,10 +71,16 @@
       fail(ResultCode.MALFORMED_INPUT, "The body ended prematurely; send all of it.");
       return;
     }
-    append(chunk.getByteBuffer());
+    ByteBuffer bytes = chunk.getByteBuffer();
+    if (tooLarge) {
+      discardedBytes += bytes.remaining();
+    } else {
+      append(bytes);
+    }
     boolean last = chunk.isLast();
     chunk.release();
-    if (content.size() > maximumBytes) {
+    tooLarge |= content.size() > maximumBytes;
+    if (tooLarge && (last || discardedBytes > MAXIMUM_DISCARDED_BYTES)) {
       failTooLarge();
     } else if (last) {
       body.complete(content.toByteArray());
--- a/src/test/java/io/dragonflyturn/internal/http/ApiHandlerTest.java
+++ b/src/test/java/io/dragonflyturn/internal/http/ApiHandlerTest.java
@@ -155,6 +155,12 @@
     assertThat(call("POST", "/v1/jobs", "kiosk", large)).contains("\"code\":102");
   }
 
+  @Test
+  void should_deliver_the_refusal_to_a_caller_that_still_sends_an_oversized_body()
+      throws Exception {
+    assertThat(sendOversizedBodyInTwoParts()).contains("\"code\":102");
+  }
+
   @Test
   void should_reject_a_body_that_arrives_too_slowly() throws IOException {
     assertThat(sendIncompleteBody()).contains("\"code\":106");
@@ -166,6 +172,25 @@
     assertThat(call("GET", "/v1/nothing", "root", "")).contains("\"code\":113");
   }
 
+  private String sendOversizedBodyInTwoParts() throws IOException, InterruptedException {
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.port())) {
+      socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+      int bodyBytes = ApiHandler.MAXIMUM_BODY_BYTES + 1;
+      String head =
+          "POST /v1/jobs HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer kiosk\r\n"
+              + "Content-Length: "
+              + bodyBytes
+              + "\r\n\r\n";
+      socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+      socket.getOutputStream().write(new byte[bodyBytes / 2]);
+      socket.getOutputStream().flush();
+      Thread.sleep(100);
+      socket.getOutputStream().write(new byte[bodyBytes - bodyBytes / 2]);
+      socket.getOutputStream().flush();
+      return readAnswer(socket);
+    }
+  }
+
   private String sendIncompleteBody() throws IOException {
     try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.port())) {
       socket.setSoTimeout(READ_TIMEOUT_MILLIS);
@@ -174,17 +199,21 @@
               + "Content-Length: 100\r\n\r\n{\"id\":";
       socket.getOutputStream().write(incompleteRequest.getBytes(StandardCharsets.US_ASCII));
       socket.getOutputStream().flush();
-      byte[] answer = new byte[2_048];
-      StringBuilder text = new StringBuilder();
-      while (!text.toString().contains("\"code\"")) {
-        int count = socket.getInputStream().read(answer);
-        if (count < 0) {
-          break;
-        }
-        text.append(new String(answer, 0, count, StandardCharsets.UTF_8));
+      return readAnswer(socket);
+    }
+  }
+
+  private static String readAnswer(Socket socket) throws IOException {
+    byte[] answer = new byte[2_048];
+    StringBuilder text = new StringBuilder();
+    while (!text.toString().contains("\"code\"")) {
+      int count = socket.getInputStream().read(answer);
+      if (count < 0) {
+        break;
       }
-      return text.toString();
+      text.append(new String(answer, 0, count, StandardCharsets.UTF_8));
     }
+    return text.toString();
   }
 
   private String call(String method, String path, String token, String body) {
