Judge a run without progress by its worker's clock and its estimate

Cause: progress is listed in whole percent, and any run without a new percent for 3.5 s of the leader's clock was stopped: every run longer than six minutes, again and again, and sound runs after a pause of the leader, which was counted as time without progress. Change: the time is the one between two listings on the worker's clock, and must also exceed the estimated time of fifteen percent.

--- a/src/main/java/io/dragonflyturn/internal/dispatch/Member.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/Member.java
@@ -13,6 +13,15 @@
    */
   private static final int MINIMUM_ESTIMATE_PERCENT = 10;
 
+  /** How long a run may make no progress before it counts as stalled. */
+  private static final long STALL_TIMEOUT_MILLIS = 3_500;
+
+  /**
+   * The share of the work, in percent, whose estimated time a run may take without progress. It
+   * allows for estimates that are far too low, because progress is listed in whole percent.
+   */
+  private static final int STALL_PERCENT = 15;
+
   private final ActiveRun run;
   private final WorkerSession session;
   private final String task;
@@ -23,7 +32,13 @@
   private long confirmedMillis;
   private long earlierRunTimeMillis;
   private long stopAcceptedMillis;
-  private int percent = -1;
+  private int percent;
+  private boolean listed;
+
+  /** When the worker last listed this member, in milliseconds of the worker's clock. */
+  private long listedMillis;
+
+  /** When the worker listed the latest progress first, in milliseconds of the worker's clock. */
   private long progressMillis;
 
   Member(ActiveRun run, WorkerSession session, String task, State state) {
@@ -91,7 +106,8 @@
     }
     state = State.CONFIRMED;
     confirmedMillis = nowMillis;
-    progressMillis = nowMillis;
+    progressMillis = session.workerTimeMillis(nowMillis);
+    listedMillis = progressMillis;
   }
 
   boolean isStopRequested() {
@@ -110,13 +126,14 @@
 
   /** Records the progress that the worker lists. */
   void updateProgress(int newPercent, long nowMillis) {
-    boolean isFirst = percent < 0;
-    if (isFirst && adopted) {
+    if (!listed && adopted) {
       earlierRunTimeMillis = unit().step().estimateMillis() * newPercent / FULL_PERCENT;
     }
+    listed = true;
+    listedMillis = session.workerTimeMillis(nowMillis);
     if (newPercent != percent) {
       percent = newPercent;
-      progressMillis = nowMillis;
+      progressMillis = listedMillis;
     }
   }
 
@@ -144,10 +161,14 @@
   }
 
   /**
-   * Returns the time since the last progress, in milliseconds; 0 unless the member is confirmed.
+   * Returns whether the worker has listed no progress for longer than a timeout, and for longer
+   * than the estimated time of several percent of the work. It is measured on the worker's clock,
+   * so neither a pause of this process nor a late answer counts as a stall.
    */
-  long stalledMillis(long nowMillis) {
-    return state == State.CONFIRMED ? nowMillis - progressMillis : 0;
+  boolean isStalled() {
+    long expectedMillis = unit().step().estimateMillis() * STALL_PERCENT / FULL_PERCENT;
+    return state == State.CONFIRMED
+        && listedMillis - progressMillis > Math.max(STALL_TIMEOUT_MILLIS, expectedMillis);
   }
 
   /**
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkerPoller.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerPoller.java
@@ -42,11 +42,6 @@
    */
   private static final int UNANSWERED_POLLS_BEFORE_LEASE_EXPIRY = 2;
 
-  /**
-   * How long a run may make no progress before it is stopped and its worker is excluded for a time.
-   */
-  private static final long STALL_TIMEOUT_MILLIS = 3_500;
-
   private final DispatchContext context;
   private final long term;
   private final RunDriver driver;
@@ -97,13 +92,14 @@
       List.copyOf(session.members()).forEach(each -> driver.resolve(each, EndKind.LOST, ""));
     }
     for (Member member : List.copyOf(session.members())) {
-      if (member.stalledMillis(now) > STALL_TIMEOUT_MILLIS && session.unansweredPolls() == 0) {
+      if (member.isStalled() && session.unansweredPolls() == 0) {
         stopStalledRun(member);
       }
     }
     pollIfNeeded(session);
   }
 
+  /** Stops a run without progress, and excludes its worker for a time. */
   private void stopStalledRun(Member member) {
     ActiveRun run = member.run();
     boolean waitsForMembers =
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkerSession.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerSession.java
@@ -100,7 +100,12 @@
   /** Grants a lease from now on. Returns when it expires, in milliseconds of the worker's clock. */
   long grantLease(long leaseMillis, long nowMillis) {
     extendLatestLeaseEnd(nowMillis + leaseMillis);
-    return workerClockMillis + nowMillis - clockReadMillis + leaseMillis;
+    return workerTimeMillis(nowMillis) + leaseMillis;
+  }
+
+  /** Returns the time of the worker's clock, estimated from its last reading. */
+  long workerTimeMillis(long nowMillis) {
+    return workerClockMillis + nowMillis - clockReadMillis;
   }
 
   /** Records that the worker may hold a lease until the given time. */
