--- a/src/main/java/io/dragonflyturn/internal/dispatch/Dispatcher.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/Dispatcher.java
@@ -75,7 +75,13 @@
         });
   }
 
+  /** Checks all timeouts, now and at each interval; a failed check does not end the checks. */
   private void tick() {
+    LoggedCallback.of(context.events(), "tick", this::checkTimeouts).run();
+    context.eventLoop().schedule(this::tick, TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private void checkTimeouts() {
     LeaderTerm current = term;
     if (current != null) {
       current.tick();
@@ -86,12 +92,6 @@
     if (!stopped) {
       election.tick(storeStatus.isLoaded() && storeStatus.isReachable());
     }
-    context
-        .eventLoop()
-        .schedule(
-            LoggedCallback.of(context.events(), "tick", this::tick),
-            TICK_INTERVAL_MILLIS,
-            TimeUnit.MILLISECONDS);
   }
 
   @Override
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkerFleet.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerFleet.java
@@ -2,6 +2,7 @@
 
 import io.dragonflyturn.internal.fleet.RegistrationListener;
 import io.dragonflyturn.internal.fleet.WorkerRegistration;
+import io.dragonflyturn.internal.logging.LoggedCallback;
 import io.dragonflyturn.internal.workload.Resources;
 import io.dragonflyturn.internal.workload.RunRecord;
 import java.util.LinkedHashMap;
@@ -33,7 +34,7 @@
 
   /** Polls every worker that needs a poll. */
   void pollAll() {
-    sessions.values().forEach(poller::pollIfNeeded);
+    sessions.values().forEach(session -> isolated(() -> poller.pollIfNeeded(session)));
   }
 
   /**
@@ -42,13 +43,18 @@
    */
   void tick() {
     for (WorkerSession session : List.copyOf(sessions.values())) {
-      poller.tick(session);
+      isolated(() -> poller.tick(session));
       if (!session.isRegistered() && session.members().isEmpty()) {
         sessions.remove(session.id());
       }
     }
   }
 
+  /** Runs an action for one worker, so that its failure does not affect the other workers. */
+  private void isolated(Runnable action) {
+    LoggedCallback.of(context.events(), "worker", action).run();
+  }
+
   /**
    * Returns the session of a worker on which an earlier leader placed a run; creates one if the
    * worker is not registered.
--- a/src/main/java/io/dragonflyturn/internal/logging/LoggedCallback.java
+++ b/src/main/java/io/dragonflyturn/internal/logging/LoggedCallback.java
@@ -33,7 +33,8 @@
     };
   }
 
-  private static void logFailure(EventLog events, String name, RuntimeException failure) {
+  /** Logs an exception with the place where it was thrown. */
+  static void logFailure(EventLog events, String name, Throwable failure) {
     StackTraceElement[] trace = failure.getStackTrace();
     events
         .event("callback-failed")
--- a/src/test/java/io/dragonflyturn/internal/dispatch/DispatcherTest.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/DispatcherTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.dragonflyturn.internal.dispatch.DispatchFixture.Instance;
+import io.dragonflyturn.internal.ledger.KeyedRecord;
 import io.dragonflyturn.internal.workload.JobState;
 import io.dragonflyturn.internal.workload.Resources;
 import org.junit.jupiter.api.BeforeEach;
@@ -97,6 +98,62 @@
     assertThat(fixture.workers.violations()).isEmpty();
   }
 
+  @Test
+  void should_run_new_jobs_and_renew_other_leases_while_polls_of_one_worker_fail() {
+    fixture.workers.setWorkMillis(9_000);
+    fixture.submit("a", 1, DispatchFixture.step(3, false, HALF_WORKER));
+    fixture.advance(500);
+    assertThat(fixture.workers.workerOf("a.0.0.2")).isEqualTo("w2");
+    fixture.workers.failPolls("w1");
+    fixture.leader().disconnect();
+    fixture.advance(4_000);
+
+    fixture.submit("b", 1, DispatchFixture.step(1, false, HALF_WORKER));
+    fixture.advance(3_500);
+
+    assertThat(fixture.workers.runningTasks()).contains("a.0.0.2", "b.0.0.0");
+  }
+
+  @Test
+  void should_not_stop_a_long_run_whose_progress_is_listed_in_whole_percent() {
+    fixture.workers.setWorkMillis(900_000);
+    fixture.submit("a", 1, DispatchFixture.longTask(900_000));
+
+    fixture.advance(60_000);
+
+    assertThat(fixture.workers.stoppedRuns()).isZero();
+    assertThat(fixture.workers.starts("a.0.0.0")).isEqualTo(1);
+  }
+
+  @Test
+  void should_move_a_run_without_progress_to_another_worker() {
+    fixture.workers.stallRuns(1);
+    fixture.submit("a", 1, DispatchFixture.tasks(1));
+
+    fixture.advance(12_000);
+
+    assertThat(fixture.leader().state("a")).isEqualTo(JobState.COMPLETED);
+    assertThat(fixture.workers.starts("a.0.0.0")).isEqualTo(2);
+    assertThat(fixture.workers.violations()).isEmpty();
+  }
+
+  @Test
+  void should_run_other_jobs_when_the_stored_run_of_one_job_is_unreadable() {
+    fixture.workers.setWorkMillis(9_000);
+    fixture.submit("a", 1, DispatchFixture.tasks(1));
+    fixture.advance(500);
+    fixture.store.records(LedgerKeys.RUNS_TOPIC).add(new KeyedRecord("a.0.0.0", new byte[] {99}));
+
+    fixture.leader().disconnect();
+    fixture.advance(4_000);
+    fixture.submit("b", 1, DispatchFixture.tasks(1));
+    fixture.advance(12_000);
+
+    assertThat(fixture.leader().state("b")).isEqualTo(JobState.COMPLETED);
+    assertThat(fixture.workers.starts("a.0.0.0")).isEqualTo(1);
+    assertThat(fixture.workers.violations()).isEmpty();
+  }
+
   @Test
   void should_not_start_a_task_twice_when_the_answer_to_its_start_is_lost() {
     fixture.workers.loseStartAnswers(1);
--- a/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
@@ -36,6 +36,7 @@
   private final ManualLoop loop;
   private final Map<String, Worker> workers = new LinkedHashMap<>();
   private final Set<String> disconnected = new HashSet<>();
+  private final Set<String> failing = new HashSet<>();
   private final List<String> violations = new ArrayList<>();
   private final Map<String, Integer> starts = new HashMap<>();
   private long workMillis = 3_000;
@@ -43,6 +44,7 @@
   private long startDelayMillis;
   private long unhealthyUntilMillis;
   private int stoppedRuns;
+  private int runsToStall;
 
   FakeWorkers(ManualLoop loop) {
     this.loop = loop;
@@ -84,6 +86,16 @@
     disconnected.add(id);
   }
 
+  /** Makes the next runs that are started list no progress and never end by themselves. */
+  void stallRuns(int runs) {
+    runsToStall = runs;
+  }
+
+  /** Makes polls of a worker fail with an exception instead of an answer. */
+  void failPolls(String id) {
+    failing.add(id);
+  }
+
   void reconnect(String id) {
     disconnected.remove(id);
   }
@@ -185,6 +197,9 @@
 
   @Override
   public CompletableFuture<PollAnswer> poll(WorkerRegistration worker, PollOrder order) {
+    if (failing.contains(worker.id())) {
+      throw new IllegalStateException("the worker cannot be polled");
+    }
     CompletableFuture<PollAnswer> answer = new CompletableFuture<>();
     if (disconnected.contains(worker.id())) {
       loop.schedule(
@@ -252,7 +267,10 @@
         violations.add(order.task() + " runs twice");
       }
       lastRuns.put(order.task(), order.runNumber());
-      running.put(order.task(), new Run(order.runNumber(), clock() + workMillis));
+      boolean stalls = runsToStall > 0;
+      runsToStall = Math.max(0, runsToStall - 1);
+      long completionMillis = stalls ? Long.MAX_VALUE : clock() + workMillis;
+      running.put(order.task(), new Run(order.runNumber(), completionMillis));
       starts.merge(order.task(), 1, Integer::sum);
       return new OrderAnswer.Taken(clock());
     }
@@ -312,7 +330,7 @@
     }
 
     RunningTask listed(String task) {
-      long remainingMillis = completionMillis - clock();
+      long remainingMillis = Math.min(completionMillis - clock(), workMillis);
       return new RunningTask(
           task, number, "", (int) Math.max(0, 100 - remainingMillis * 100 / workMillis));
     }
