Lead again at once after a restart of the leader

Cause: after a loss of power, all instances waited the whole leader timeout from their own start, although the restarted leader knows that its earlier process has ended. Test failed before: CandidacyTest.

--- a/src/main/java/io/dragonflyturn/internal/dispatch/LeaderElection.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LeaderElection.java
@@ -54,6 +54,10 @@
   private long readOffset;
   private boolean participating = true;
   private boolean proposalPending;
+
+  /** Whether this process has led a term. */
+  private boolean hasLed;
+
   private long leadingTerm;
 
   /**
@@ -155,13 +159,29 @@
       return;
     }
     long silenceMillis = monotonicClock.millis() - lastActivityMillis;
+    if (silenceMillis >= timeoutMillis()) {
+      propose(silenceMillis);
+    }
+  }
+
+  /** Returns how long the leader must have been silent before this instance proposes itself. */
+  private long timeoutMillis() {
+    if (isRecordOfEarlierProcess()) {
+      return 0;
+    }
     long timeoutMillis =
         lastRecord.released()
             ? candidacySpreadMillis / 2
             : LEADER_TIMEOUT_MILLIS + candidacySpreadMillis;
-    if (silenceMillis >= timeoutMillis + candidacyDelayMillis) {
-      propose(silenceMillis);
-    }
+    return timeoutMillis + candidacyDelayMillis;
+  }
+
+  /**
+   * Returns whether the recorded leader is an earlier process of this instance, which has ended. No
+   * other instance can know this before the leader timeout.
+   */
+  private boolean isRecordOfEarlierProcess() {
+    return !hasLed && lastRecord.instance().equals(instance);
   }
 
   private void propose(long silenceMillis) {
@@ -224,6 +244,7 @@
       return;
     }
     leadingTerm = proposal.term;
+    hasLed = true;
     events
         .event("leadership-won")
         .with("term", proposal.term)
--- a/src/test/java/io/dragonflyturn/internal/dispatch/CandidacyTest.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/CandidacyTest.java
@@ -47,6 +47,36 @@
     assertThat(fixture.leader()).isNotSameAs(large);
   }
 
+  @Test
+  void should_lead_again_at_once_after_a_restart_of_the_leader() {
+    fixture.instance("one", DispatchFixture.LARGE);
+    fixture.instance("other", DispatchFixture.LARGE);
+    fixture.advance(3_000);
+    Instance leader = fixture.leader();
+    leader.disconnect();
+
+    Instance restarted = fixture.instance(leader.name, DispatchFixture.LARGE);
+    fixture.advance(400);
+
+    assertThat(fixture.leader()).isSameAs(restarted);
+  }
+
+  @Test
+  void should_not_replace_a_later_leader_after_a_restart_of_an_earlier_one() {
+    fixture.instance("one", DispatchFixture.LARGE);
+    fixture.instance("other", DispatchFixture.LARGE);
+    fixture.advance(3_000);
+    final Instance earlier = fixture.leader();
+    earlier.disconnect();
+    fixture.advance(3_000);
+    final Instance later = fixture.leader();
+
+    fixture.instance(earlier.name, DispatchFixture.LARGE);
+    fixture.advance(3_000);
+
+    assertThat(fixture.leader()).isSameAs(later);
+  }
+
   private void startSmallInstances() {
     for (int number = 0; number < SMALL_INSTANCES; number++) {
       fixture.instance("small-" + number, DispatchFixture.SMALL);
--- a/src/test/java/io/dragonflyturn/internal/dispatch/DispatchFixture.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/DispatchFixture.java
@@ -58,12 +58,14 @@
 
   /** An instance that can be disconnected from the store and the workers. */
   final class Instance {
+    final String name;
     final Dispatcher dispatcher;
     final JobDirectory directory = new JobDirectory(loop, events);
     private final DisconnectableStore connection;
     private final FakeWorkerFeed feed = new FakeWorkerFeed();
 
     Instance(String name, InstanceCapacity capacity) {
+      this.name = name;
       connection = new DisconnectableStore(store);
       TopicConsumer follower =
           new TopicConsumer(
@@ -166,6 +168,11 @@
     return step(replicas, false, TASK);
   }
 
+  static StepSpecification longTask(long estimateMillis) {
+    return new StepSpecification(
+        1, TASK, estimateMillis, List.of(), false, false, false, "", "", 0, false, false);
+  }
+
   static StepSpecification gang(int replicas) {
     return step(replicas, true, TASK);
   }
