--- a/src/main/java/io/dragonflyturn/internal/intake/CallForwarder.java
+++ b/src/main/java/io/dragonflyturn/internal/intake/CallForwarder.java
@@ -36,7 +36,6 @@
   private static final long FORWARDING_PAUSE_MILLIS = 400;
 
   private final Supplier<Map<String, String>> peerAddresses;
-  private final String ownName;
   private final PeerClient peerClient;
   private final Executor eventLoop;
   private final InstantSource monotonicClock;
@@ -47,21 +46,18 @@
   /**
    * Creates a forwarder.
    *
-   * @param peerAddresses supplies the address of each instance by its name, including this instance
-   * @param ownName the name of this instance
+   * @param peerAddresses supplies the addresses of the peers by their names
    * @param peerClient sends calls to peers
    * @param eventLoop the event loop on which answers are processed
    * @param monotonicClock a clock that never goes back
    */
   public CallForwarder(
       Supplier<Map<String, String>> peerAddresses,
-      String ownName,
       PeerClient peerClient,
       Executor eventLoop,
       InstantSource monotonicClock,
       EventLog events) {
     this.peerAddresses = peerAddresses;
-    this.ownName = ownName;
     this.peerClient = peerClient;
     this.eventLoop = eventLoop;
     this.monotonicClock = monotonicClock;
@@ -104,7 +100,6 @@
 
   private List<Map.Entry<String, String>> candidates() {
     List<Map.Entry<String, String>> candidates = new ArrayList<>(peerAddresses.get().entrySet());
-    candidates.removeIf(candidate -> candidate.getKey().equals(ownName));
     candidates.sort(
         Comparator.comparingLong(
             (Map.Entry<String, String> candidate) ->
--- a/src/main/java/io/dragonflyturn/internal/intake/PeerAddressPublisher.java
+++ b/src/main/java/io/dragonflyturn/internal/intake/PeerAddressPublisher.java
@@ -18,6 +18,9 @@
 public final class PeerAddressPublisher {
   private static final long CHECK_INTERVAL_MILLIS = 1_000;
 
+  /** The check interval until the stored records are loaded for the first time. */
+  private static final long LOADING_CHECK_INTERVAL_MILLIS = 50;
+
   private final String instance;
   private final String address;
   private final JobDirectory jobDirectory;
@@ -60,7 +63,7 @@
     }
     eventLoop.schedule(
         LoggedCallback.of(events, "announce", this::start),
-        CHECK_INTERVAL_MILLIS,
+        storeStatus.isLoaded() ? CHECK_INTERVAL_MILLIS : LOADING_CHECK_INTERVAL_MILLIS,
         TimeUnit.MILLISECONDS);
   }
 }
--- a/src/test/java/io/dragonflyturn/internal/intake/JobRequestHandlerTest.java
+++ b/src/test/java/io/dragonflyturn/internal/intake/JobRequestHandlerTest.java
@@ -320,7 +320,11 @@
         new SequencedWriter(store, "topic", "entry", 1, 1, true, eventLoop, events),
         storeStatus,
         new CallForwarder(
-            () -> peers, "self", this::callPeer, eventLoop, InstantSource.system(), events),
+            new PeerDirectory(() -> peers, "self", List.of()),
+            this::callPeer,
+            eventLoop,
+            InstantSource.system(),
+            events),
         eventLoop,
         InstantSource.system(),
         events);
