Elect a leader while callers' records keep arriving, and hand over to a process that stays

Cause: a proposal was conditional on the end of the jobs topic. And in a rolling restart it went to processes that were stopped next. Change: a proposal that was overtaken by callers' records is repeated without the condition, since the epoch alone lets one candidate win a term; the leader starts work once it has read its own record. Candidates read without a pause, and a process that has just started is preferred after a release. Tests failed before: CandidacyTest (two).

--- a/src/main/java/io/dragonflyturn/internal/dispatch/Dispatcher.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/Dispatcher.java
@@ -13,6 +13,9 @@
 public final class Dispatcher implements JobDirectory.Observer, LeaderElection.Listener {
   private static final long TICK_INTERVAL_MILLIS = 100;
 
+  /** How long an instance waits between reads, so that it receives records in batches. */
+  private static final Duration FOLLOWER_POLL_PAUSE = Duration.ofMillis(200);
+
   /** How long a leader that cannot reach the store keeps leading and renewing leases. */
   private static final Duration MAXIMUM_STORE_OUTAGE = Duration.ofSeconds(8);
 
@@ -49,9 +52,9 @@
     return current != null && current.isReady();
   }
 
-  /** Returns whether this instance is the leader, even if it is still loading the stored state. */
-  public boolean isElected() {
-    return term != null;
+  /** Returns how long to wait before the next read of the jobs topic. */
+  public Duration jobsPollPause() {
+    return election.needsLatestRecords() ? Duration.ZERO : FOLLOWER_POLL_PAUSE;
   }
 
   /**
@@ -140,5 +143,9 @@
   @Override
   public void advancedTo(long nextOffset) {
     election.advancedTo(nextOffset);
+    LeaderTerm current = term;
+    if (current != null) {
+      current.startIfLoaded();
+    }
   }
 }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/JobDirectory.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/JobDirectory.java
@@ -60,6 +60,11 @@
     return instanceAddresses;
   }
 
+  /** Returns the latest leadership record. */
+  LeadershipRecord leadership() {
+    return leadership;
+  }
+
   /** Returns the number of queued jobs of a queue, not counting jobs with due times. */
   public int countWaitingJobs(String queue) {
     int waiting = 0;
--- a/src/main/java/io/dragonflyturn/internal/dispatch/LeaderElection.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LeaderElection.java
@@ -23,11 +23,15 @@
  * Elects a leader through conditional appends to the jobs topic. An instance becomes a candidate if
  * the leader has written nothing to the topic for a timeout.
  *
- * <p>A candidate appends a record with the next term on condition that the topic ends where the
- * candidate has read up to, so at most one candidate wins a term. The term is also the epoch of the
- * leader's appends and the fencing token of its orders. Each candidate starts with a random
- * sequence number, so that the store does not mistake one candidate's append for a retry of another
- * candidate's.
+ * <p>A candidate appends a record with the next term. The term is also the epoch of the append, and
+ * each candidate starts with a random sequence number, so the store accepts only the first append
+ * of a term: at most one candidate wins it. The term is the fencing token of the leader's orders,
+ * too.
+ *
+ * <p>A first proposal is made on condition that the topic ends where the candidate has read up to,
+ * which shows that no leader has been active meanwhile. Where other records keep arriving, as on a
+ * slow store under load, no such proposal would ever succeed; so once the candidate has read the
+ * records that came first, and no leader's is among them, it proposes itself without the condition.
  */
 public final class LeaderElection {
   /** The writer name shared by all leaders, so that a later epoch fences earlier ones. */
@@ -39,6 +43,17 @@
   /** The range over which instances spread their candidacies, so that they rarely compete. */
   private static final long CANDIDACY_SPREAD_MILLIS = 400;
 
+  /** How long a leader may write nothing before instances read without a pause, to replace it. */
+  private static final long SUSPICION_MILLIS = 900;
+
+  /**
+   * How much longer a process that has run for a long time waits after a release than one that has
+   * just started. In a rolling restart, the leadership so goes to a process that stays.
+   */
+  private static final long MAXIMUM_UPTIME_DELAY_MILLIS = 200;
+
+  private static final long LONG_UPTIME_MILLIS = 60_000;
+
   private static final long RETRY_DELAY_MILLIS = 60;
 
   private final RecordStore store;
@@ -50,8 +65,16 @@
   private final long candidacySpreadMillis;
   private final long candidacyDelayMillis;
   private LeadershipRecord lastRecord = LeadershipRecord.NONE;
+  private final long startedMillis;
   private long lastActivityMillis;
   private long readOffset;
+
+  /** The end of the topic that refused a proposal; 0 once it has been read up to there. */
+  private long refusedAtEnd;
+
+  /** Whether records of callers, and none of a leader, came before the last proposal. */
+  private boolean overtakenByCallers;
+
   private boolean participating = true;
   private boolean proposalPending;
 
@@ -87,7 +110,8 @@
     this.listener = listener;
     this.candidacySpreadMillis = Math.floorMod(instance.hashCode(), CANDIDACY_SPREAD_MILLIS);
     this.candidacyDelayMillis = capacity.candidacyDelayMillis();
-    this.lastActivityMillis = monotonicClock.millis();
+    this.startedMillis = monotonicClock.millis();
+    this.lastActivityMillis = startedMillis;
   }
 
   /**
@@ -96,7 +120,7 @@
    */
   public void leadershipRead(LeadershipRecord record) {
     lastRecord = record;
-    lastActivityMillis = monotonicClock.millis();
+    leaderActive();
     if (leadingTerm != 0 && record.term() > leadingTerm) {
       stepDown("higher-term-read");
     }
@@ -105,11 +129,26 @@
   /** Records that the leader is active, which restarts the leader timeout. */
   public void leaderActive() {
     lastActivityMillis = monotonicClock.millis();
+    overtakenByCallers = false;
   }
 
   /** Records the offset up to which the jobs topic has been read. */
   public void advancedTo(long nextOffset) {
     readOffset = nextOffset;
+    if (refusedAtEnd != 0 && readOffset >= refusedAtEnd) {
+      refusedAtEnd = 0;
+      tick(true);
+    }
+  }
+
+  /**
+   * Returns whether this instance has to read the topic without delay: it is the leader, or there
+   * may be none, and a proposal needs the end of the topic.
+   */
+  public boolean needsLatestRecords() {
+    return leadingTerm != 0
+        || lastRecord.released()
+        || monotonicClock.millis() - lastActivityMillis > SUSPICION_MILLIS;
   }
 
   /** Returns the term that this instance leads; 0 if it is not the leader. */
@@ -171,11 +210,16 @@
     }
     long timeoutMillis =
         lastRecord.released()
-            ? candidacySpreadMillis / 2
+            ? candidacySpreadMillis / 4 + uptimeDelayMillis()
             : LEADER_TIMEOUT_MILLIS + candidacySpreadMillis;
     return timeoutMillis + candidacyDelayMillis;
   }
 
+  private long uptimeDelayMillis() {
+    long uptimeMillis = Math.min(monotonicClock.millis() - startedMillis, LONG_UPTIME_MILLIS);
+    return uptimeMillis * MAXIMUM_UPTIME_DELAY_MILLIS / LONG_UPTIME_MILLIS;
+  }
+
   /**
    * Returns whether the recorded leader is an earlier process of this instance, which has ended. No
    * other instance can know this before the leader timeout.
@@ -194,7 +238,9 @@
         .with("silenceMillis", silenceMillis)
         .with("offset", readOffset)
         .write();
-    append(new Proposal(term, sequence, readOffset));
+    OptionalLong expectedEnd =
+        overtakenByCallers ? OptionalLong.empty() : OptionalLong.of(readOffset);
+    append(new Proposal(term, sequence, expectedEnd));
   }
 
   private void append(Proposal proposal) {
@@ -203,7 +249,7 @@
         .append(
             LedgerKeys.JOBS_TOPIC,
             new AppendId(WRITER, proposal.term, proposal.sequence),
-            OptionalLong.of(proposal.expectedEnd),
+            proposal.expectedEnd,
             List.of(new KeyedRecord(LedgerKeys.LEADER, record.encode())))
         .whenCompleteAsync(
             LoggedCallback.of(
@@ -218,13 +264,21 @@
     switch (outcome) {
       case Stored stored -> proposalStored(proposal, stored);
       case Unknown unknown -> retryProposal(proposal);
-      case EndOffsetMismatch moved -> proposalPending = false;
-      case OutOfSequence other -> proposalPending = false;
+      case EndOffsetMismatch moved -> proposalRefused(moved.endOffset());
       case Rejected rejected -> proposalPending = false;
-      case Fenced fenced -> proposalFenced();
+      case OutOfSequence other -> otherCandidateWon();
+      case Fenced fenced -> otherCandidateWon();
     }
   }
 
+  /** Proposes again once the records that came first have been read. */
+  private void proposalRefused(long end) {
+    proposalPending = false;
+    refusedAtEnd = end;
+    overtakenByCallers = true;
+    advancedTo(readOffset);
+  }
+
   private void retryProposal(Proposal proposal) {
     if (lastRecord.term() >= proposal.term && !lastRecord.instance().equals(instance)) {
       proposalPending = false;
@@ -233,9 +287,10 @@
     eventLoop.schedule(() -> append(proposal), RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
   }
 
-  private void proposalFenced() {
+  /** Waits for the record of the candidate that has won the proposed term or a later one. */
+  private void otherCandidateWon() {
     proposalPending = false;
-    lastActivityMillis = monotonicClock.millis();
+    leaderActive();
   }
 
   private void proposalStored(Proposal proposal, Stored stored) {
@@ -254,12 +309,13 @@
   }
 
   /** A proposal of this instance as the leader; all retries use the same position in the topic. */
-  private record Proposal(long term, long sequence, long expectedEnd) {}
+  private record Proposal(long term, long sequence, OptionalLong expectedEnd) {}
 
   /** Receives notifications when this instance gains or loses the leadership, on the event loop. */
   public interface Listener {
     /**
-     * Called when this instance has become the leader.
+     * Called when this instance has become the leader. Records that were stored before its own may
+     * not have been read yet.
      *
      * @param term the term that this instance leads
      * @param nextSequence the sequence number of its next append to the jobs topic
--- a/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
@@ -119,10 +119,14 @@
     startIfLoaded();
   }
 
-  /** Starts executing jobs once both the stored runs and the workers are known. */
-  private void startIfLoaded() {
+  /**
+   * Starts executing jobs once the stored runs, the workers, and all jobs that were stored before
+   * this term are known.
+   */
+  void startIfLoaded() {
     LoadedRuns runs = loadedRuns;
-    if (ready || closed || runs == null || !context.workerFeed().isSynced()) {
+    boolean hasReadOwnRecord = context.directory().leadership().term() >= term;
+    if (ready || closed || runs == null || !hasReadOwnRecord || !context.workerFeed().isSynced()) {
       return;
     }
     ready = true;
--- a/src/test/java/io/dragonflyturn/internal/dispatch/CandidacyTest.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/CandidacyTest.java
@@ -77,6 +77,40 @@
     assertThat(fixture.leader()).isSameAs(later);
   }
 
+  @Test
+  void should_pass_the_leadership_on_soon_while_a_slow_store_takes_many_submissions() {
+    for (int number = 0; number < 6; number++) {
+      fixture.instance("large-" + number, DispatchFixture.LARGE);
+    }
+    fixture.advance(3_000);
+    fixture.store.setAnswerDelayMillis(180);
+    Instance leader = fixture.leader();
+    leader.dispatcher.resign(leader::disconnect);
+
+    for (int submission = 0; submission < 14; submission++) {
+      fixture.submit("job-" + submission, 1, DispatchFixture.tasks(1));
+      fixture.advance(150);
+    }
+
+    assertThat(fixture.leader()).isNotSameAs(leader);
+  }
+
+  @Test
+  void should_pass_the_leadership_to_a_process_that_has_just_started() {
+    for (int number = 0; number < 4; number++) {
+      fixture.instance("long-running-" + number, DispatchFixture.LARGE);
+    }
+    fixture.advance(60_000);
+    Instance restarted = fixture.instance("restarted", DispatchFixture.LARGE);
+    fixture.advance(2_000);
+
+    Instance leader = fixture.leader();
+    leader.dispatcher.resign(leader::disconnect);
+    fixture.advance(500);
+
+    assertThat(fixture.leader()).isSameAs(restarted);
+  }
+
   private void startSmallInstances() {
     for (int number = 0; number < SMALL_INSTANCES; number++) {
       fixture.instance("small-" + number, DispatchFixture.SMALL);
--- a/src/test/java/io/dragonflyturn/internal/dispatch/DispatchFixture.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/DispatchFixture.java
@@ -74,7 +74,7 @@
               directory,
               loop,
               Duration.ofSeconds(1),
-              () -> Duration.ZERO,
+              this::jobsPollPause,
               loop,
               events);
       dispatcher =
@@ -99,6 +99,10 @@
       dispatcher.start();
     }
 
+    private Duration jobsPollPause() {
+      return dispatcher.jobsPollPause();
+    }
+
     /** Disconnects the instance from the store and the workers. */
     void disconnect() {
       connection.disconnected = true;
--- a/src/test/java/io/dragonflyturn/internal/dispatch/FakeRecordStore.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/FakeRecordStore.java
@@ -19,7 +19,7 @@
  * simulate outages and lost answers.
  */
 final class FakeRecordStore implements RecordStore {
-  private static final long ANSWER_DELAY_MILLIS = 4;
+  private static final long CALM_ANSWER_DELAY_MILLIS = 4;
 
   private final ManualLoop loop;
   private final Map<String, List<KeyedRecord>> topics = new HashMap<>();
@@ -28,6 +28,7 @@
   private final List<Runnable> waitingReads = new ArrayList<>();
   private boolean down;
   private int answersToLose;
+  private long answerDelayMillis = CALM_ANSWER_DELAY_MILLIS;
 
   FakeRecordStore(ManualLoop loop) {
     this.loop = loop;
@@ -37,6 +38,11 @@
     down = newDown;
   }
 
+  /** Delays every answer by the given time. */
+  void setAnswerDelayMillis(long millis) {
+    answerDelayMillis = millis;
+  }
+
   /** Executes the given number of appends without answering them. */
   void loseAnswers(int appends) {
     answersToLose = appends;
@@ -63,7 +69,7 @@
           waitingReads.clear();
           reads.forEach(Runnable::run);
         },
-        ANSWER_DELAY_MILLIS,
+        answerDelayMillis,
         TimeUnit.MILLISECONDS);
     return answer;
   }
@@ -101,7 +107,7 @@
   public CompletableFuture<Slice> read(String topic, long fromOffset, Duration maxWait) {
     CompletableFuture<Slice> answer = new CompletableFuture<>();
     loop.schedule(
-        () -> tryRead(topic, fromOffset, answer), ANSWER_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+        () -> tryRead(topic, fromOffset, answer), answerDelayMillis, TimeUnit.MILLISECONDS);
     loop.schedule(
         () -> answer.complete(new Slice(false, List.of())),
         maxWait.toMillis(),
@@ -134,7 +140,7 @@
             answer.complete(page(topic));
           }
         },
-        ANSWER_DELAY_MILLIS,
+        answerDelayMillis,
         TimeUnit.MILLISECONDS);
     return answer;
   }
