Avoid a worker from its first failure on, and make last attempts on proven workers

A worker was excluded only after two jobs had failed on it, and a job whose queue allows two attempts met two such workers one after the other: 15 jobs that could be done were shown as failed. Change: the latest runs make a worker proven or suspect; suspect workers are used last, and the last attempt of a unit is made on proven workers where these could run it.

--- a/src/main/java/io/dragonflyturn/internal/dispatch/InfeasibleRequests.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/InfeasibleRequests.java
@@ -23,7 +23,8 @@
    * worker.
    */
   void add(PlacementRequest request) {
-    boolean isSpecific = request.tasks() > 1 || !request.failedWorkers().isEmpty();
+    boolean isSpecific =
+        request.tasks() > 1 || !request.failedWorkers().isEmpty() || request.lastAttempt();
     if (!isSpecific) {
       infeasibleDemands
           .computeIfAbsent(scope(request), scope -> new ArrayList<>())
--- a/src/main/java/io/dragonflyturn/internal/dispatch/Member.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/Member.java
@@ -124,8 +124,12 @@
     }
   }
 
-  /** Records the progress that the worker lists. */
-  void updateProgress(int newPercent, long nowMillis) {
+  /**
+   * Records the progress that the worker lists. Returns whether it is the first progress of a run
+   * that this leader has started.
+   */
+  boolean updateProgress(int newPercent, long nowMillis) {
+    boolean isFirstProgress = !adopted && percent == 0 && newPercent > 0;
     if (!listed && adopted) {
       earlierRunTimeMillis = unit().step().estimateMillis() * newPercent / FULL_PERCENT;
     }
@@ -135,6 +139,7 @@
       percent = newPercent;
       progressMillis = listedMillis;
     }
+    return isFirstProgress;
   }
 
   int percent() {
--- a/src/main/java/io/dragonflyturn/internal/dispatch/PlacementPlanner.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/PlacementPlanner.java
@@ -24,6 +24,9 @@
  * preempt runs of less urgent jobs; the resources that these runs release are reserved for it. If
  * its step prefers a single rack or has its data on one rack, a unit is placed on that rack only,
  * until {@link PlacementRequest#mayWaitForRack} no longer allows it to wait.
+ *
+ * <p>Where some workers fail all that they start, suspect workers are used last, and the last
+ * attempt of a unit is made on proven workers only, if they could run it at all.
  */
 final class PlacementPlanner {
   private final Map<String, Candidate> candidatesById = new LinkedHashMap<>();
@@ -31,11 +34,14 @@
   private final Map<String, String> preempted = new LinkedHashMap<>();
   private final Map<String, WaitCause> waiting = new LinkedHashMap<>();
   private final Set<String> reservedForUrgent;
+  private final boolean hasSuspects;
   private final InfeasibleRequests infeasible = new InfeasibleRequests();
   private int searches;
 
   private PlacementPlanner(Collection<WorkerSnapshot> workers, Set<String> reservedForUrgent) {
     this.reservedForUrgent = reservedForUrgent;
+    this.hasSuspects =
+        workers.stream().anyMatch(worker -> worker.condition() == WorkerCondition.SUSPECT);
     workers.forEach(worker -> candidatesById.put(worker.id(), new Candidate(worker)));
   }
 
@@ -68,7 +74,7 @@
       waiting.put(request.unitKey(), WaitCause.NO_ELIGIBLE_WORKER);
       return;
     }
-    List<Candidate> chosen = choose(request, eligible, Candidate::free);
+    List<Candidate> chosen = chooseFree(request, eligible);
     if (chosen != null) {
       chosen.forEach(candidate -> candidate.place(request));
       placed.add(new PlacedUnit(request.unitKey(), chosen.stream().map(Candidate::id).toList()));
@@ -77,6 +83,23 @@
     waiting.put(request.unitKey(), planPreemption(request, eligible));
   }
 
+  /**
+   * Returns free workers for all tasks, without suspect ones if possible; null if there are none.
+   */
+  private @Nullable List<Candidate> chooseFree(PlacementRequest request, List<Candidate> eligible) {
+    if (hasSuspects) {
+      List<Candidate> unsuspected =
+          eligible.stream()
+              .filter(each -> each.worker.condition() != WorkerCondition.SUSPECT)
+              .toList();
+      List<Candidate> chosen = choose(request, unsuspected, Candidate::free);
+      if (chosen != null) {
+        return chosen;
+      }
+    }
+    return choose(request, eligible, Candidate::free);
+  }
+
   /**
    * Returns the workers that may run a unit; unhealthy workers and workers on which it failed only
    * if there are no others.
@@ -92,7 +115,21 @@
           candidate.worker.healthy() && !request.failedWorkers().contains(candidate.id());
       (preferred ? eligible : fallback).add(candidate);
     }
-    return excludeReserved(request, eligible.isEmpty() ? fallback : eligible);
+    return excludeReserved(
+        request, onlyProvenForLastAttempt(request, eligible.isEmpty() ? fallback : eligible));
+  }
+
+  /** Keeps only proven workers for a last attempt, unless the unit could never run on them. */
+  private static List<Candidate> onlyProvenForLastAttempt(
+      PlacementRequest request, List<Candidate> eligible) {
+    if (!request.lastAttempt()) {
+      return eligible;
+    }
+    List<Candidate> proven =
+        eligible.stream()
+            .filter(each -> each.worker.condition() == WorkerCondition.PROVEN)
+            .toList();
+    return fitsWhenEmpty(request, proven) ? proven : eligible;
   }
 
   /**
--- a/src/main/java/io/dragonflyturn/internal/dispatch/PlacementRequest.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/PlacementRequest.java
@@ -19,6 +19,7 @@
  * @param waitedMillis how long the unit has been ready to run, in milliseconds
  * @param preemptionDelayMillis how long the unit waits before it preempts other runs, in
  *     milliseconds
+ * @param lastAttempt whether earlier runs of the unit failed, and one more failure ends its job
  */
 record PlacementRequest(
     String unitKey,
@@ -30,7 +31,8 @@
     Set<String> failedWorkers,
     Map<String, Integer> stepRunsByWorker,
     long waitedMillis,
-    long preemptionDelayMillis) {
+    long preemptionDelayMillis,
+    boolean lastAttempt) {
   private static final long MAXIMUM_RACK_WAIT_MILLIS = 4_000;
 
   /** Returns whether the unit may preempt runs of less urgent jobs now. */
--- a/src/main/java/io/dragonflyturn/internal/dispatch/PlanningRound.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/PlanningRound.java
@@ -95,7 +95,8 @@
         unit.failedWorkers(),
         stepRunsByWorker(unit),
         context.nowMillis() - unit.readySinceMillis(),
-        PreemptionDelay.of(unit));
+        PreemptionDelay.of(unit),
+        unit.isOnLastAttempt());
   }
 
   private Map<String, Integer> stepRunsByWorker(WorkUnit unit) {
@@ -135,7 +136,7 @@
         worker.service(),
         worker.rack(),
         worker.labels(),
-        health.isHealthy(worker.id()),
+        health.conditionOf(worker.id()),
         worker.capacity(),
         allocations);
   }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkUnit.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkUnit.java
@@ -96,6 +96,12 @@
     return failures;
   }
 
+  /** Returns whether earlier runs failed, and one more failure ends the job. */
+  boolean isOnLastAttempt() {
+    int maximumAttempts = job.submission().queue().maximumAttempts();
+    return !step().endless() && failures > 0 && failures >= maximumAttempts - 1;
+  }
+
   String checkpoint() {
     return checkpoint;
   }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkerPoller.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerPoller.java
@@ -247,7 +247,9 @@
     if (member.state() == State.UNCERTAIN || member.state() == State.SENT) {
       member.confirm(context.nowMillis());
     }
-    member.updateProgress(running.percent(), context.nowMillis());
+    if (member.updateProgress(running.percent(), context.nowMillis())) {
+      health.recordProgress(session.id());
+    }
     member.unit().updateCheckpoint(running.checkpoint());
   }
 
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkerSnapshot.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerSnapshot.java
@@ -10,8 +10,7 @@
  * @param service the service that the worker belongs to
  * @param rack the rack of the worker
  * @param labels the labels of the worker
- * @param healthy whether the worker is not excluded because of recent failures; see {@link
- *     WorkerHealth}
+ * @param condition what the latest runs on the worker say about it
  * @param capacity the total resources of the worker
  * @param allocations the resources allocated to runs, one entry for each member on the worker
  */
@@ -20,9 +19,14 @@
     String service,
     String rack,
     List<String> labels,
-    boolean healthy,
+    WorkerCondition condition,
     Resources capacity,
     List<Allocation> allocations) {
+  /** Returns whether the worker is not excluded because of recent failures. */
+  boolean healthy() {
+    return condition != WorkerCondition.EXCLUDED;
+  }
+
   /**
    * The resources that are allocated to a member of a run.
    *
--- a/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
@@ -32,11 +32,13 @@
   static final Resources CAPACITY = new Resources(32_000, 65_536, 8);
 
   private static final long ANSWER_DELAY_MILLIS = 2;
+  private static final long FAILURE_DELAY_MILLIS = 40;
 
   private final ManualLoop loop;
   private final Map<String, Worker> workers = new LinkedHashMap<>();
   private final Set<String> disconnected = new HashSet<>();
   private final Set<String> failing = new HashSet<>();
+  private final Set<String> failingAllRuns = new HashSet<>();
   private final List<String> violations = new ArrayList<>();
   private final Map<String, Integer> starts = new HashMap<>();
   private long workMillis = 3_000;
@@ -91,6 +93,11 @@
     runsToStall = runs;
   }
 
+  /** Makes every run that a worker starts from now on fail soon. */
+  void failRuns(String id) {
+    failingAllRuns.add(id);
+  }
+
   /** Makes polls of a worker fail with an exception instead of an answer. */
   void failPolls(String id) {
     failing.add(id);
@@ -270,7 +277,9 @@
       boolean stalls = runsToStall > 0;
       runsToStall = Math.max(0, runsToStall - 1);
       long completionMillis = stalls ? Long.MAX_VALUE : clock() + workMillis;
-      running.put(order.task(), new Run(order.runNumber(), completionMillis));
+      boolean fails = failingAllRuns.contains(id);
+      long failureMillis = fails ? clock() + FAILURE_DELAY_MILLIS : Long.MAX_VALUE;
+      running.put(order.task(), new Run(order.runNumber(), completionMillis, failureMillis));
       starts.merge(order.task(), 1, Integer::sum);
       return new OrderAnswer.Taken(clock());
     }
@@ -303,7 +312,9 @@
 
     void expire() {
       for (Map.Entry<String, Run> entry : Map.copyOf(running).entrySet()) {
-        if (entry.getValue().completionMillis <= Math.min(clock(), leaseUntilMillis)) {
+        if (entry.getValue().failureMillis <= clock()) {
+          end(entry.getKey(), EndKind.FAILED);
+        } else if (entry.getValue().completionMillis <= Math.min(clock(), leaseUntilMillis)) {
           end(entry.getKey(), EndKind.DONE);
         } else if (leaseUntilMillis <= clock()) {
           end(entry.getKey(), EndKind.LAPSED);
@@ -323,10 +334,12 @@
   private final class Run {
     private final int number;
     private final long completionMillis;
+    private final long failureMillis;
 
-    Run(int number, long completionMillis) {
+    Run(int number, long completionMillis, long failureMillis) {
       this.number = number;
       this.completionMillis = completionMillis;
+      this.failureMillis = failureMillis;
     }
 
     RunningTask listed(String task) {
--- a/src/test/java/io/dragonflyturn/internal/dispatch/PlacementPlannerTest.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/PlacementPlannerTest.java
@@ -106,13 +106,49 @@
     StepSpecification step = new StepBuilder(SMALL).build();
     PlacementRequest request =
         new PlacementRequest(
-            "j.0.0.0", "j.0.0", "service", 1, step, 1, Set.of("w1"), Map.of(), 0, 0);
+            "j.0.0.0", "j.0.0", "service", 1, step, 1, Set.of("w1"), Map.of(), 0, 0, false);
 
     PlacementPlan plan = plan(List.of(worker("w1", "r1"), worker("w2", "r1")), List.of(request));
 
     assertThat(plan.placed()).containsExactly(new PlacedUnit("j.0.0.0", List.of("w2")));
   }
 
+  @Test
+  void should_use_a_suspect_worker_only_if_no_other_is_free() {
+    StepSpecification step = new StepBuilder(WHOLE_WORKER).gang(1).build();
+    List<WorkerSnapshot> fleet =
+        List.of(worker("w1", WorkerCondition.SUSPECT), worker("w2", WorkerCondition.UNKNOWN));
+
+    PlacementPlan plan = plan(fleet, List.of(gang("a.0.0", step, 0), gang("b.0.0", step, 0)));
+
+    assertThat(plan.placed())
+        .containsExactly(
+            new PlacedUnit("a.0.0", List.of("w2")), new PlacedUnit("b.0.0", List.of("w1")));
+  }
+
+  @Test
+  void should_make_the_last_attempt_on_proven_workers() {
+    List<WorkerSnapshot> fleet =
+        List.of(
+            worker("w1", WorkerCondition.SUSPECT),
+            worker("w2", WorkerCondition.UNKNOWN),
+            worker("w3", WorkerCondition.PROVEN));
+
+    PlacementPlan plan = plan(fleet, List.of(lastAttempt("a.0.0", 1), lastAttempt("b.0.0", 1)));
+
+    assertThat(plan.placed()).containsExactly(new PlacedUnit("a.0.0", List.of("w3")));
+  }
+
+  @Test
+  void should_make_the_last_attempt_elsewhere_if_proven_workers_could_never_run_it() {
+    List<WorkerSnapshot> fleet =
+        List.of(worker("w1", WorkerCondition.PROVEN), worker("w2", WorkerCondition.UNKNOWN));
+
+    PlacementPlan plan = plan(fleet, List.of(lastAttempt("a.0.0", 2)));
+
+    assertThat(plan.placed()).containsExactly(new PlacedUnit("a.0.0", List.of("w1", "w2")));
+  }
+
   @Test
   void should_preempt_the_run_with_the_lowest_preemption_cost() {
     StepSpecification urgent = new StepBuilder(WHOLE_WORKER).gang(1).build();
@@ -134,7 +170,17 @@
     WorkerSnapshot busy = occupied("w1", new Allocation("old.0.0.0", 2, half, false, 10));
     PlacementRequest waitingRequest =
         new PlacementRequest(
-            "large.0.0", "large.0.0", "service", 1, large, 1, Set.of(), Map.of(), 500, 2_000);
+            "large.0.0",
+            "large.0.0",
+            "service",
+            1,
+            large,
+            1,
+            Set.of(),
+            Map.of(),
+            500,
+            2_000,
+            false);
 
     PlacementPlan plan = plan(List.of(busy), List.of(waitingRequest, task("small.0.0.0", small)));
 
@@ -240,22 +286,40 @@
 
   private static WorkerSnapshot worker(String id, String rack) {
     return new WorkerSnapshot(
-        id, "service", rack, List.of("a", rack), true, WHOLE_WORKER, List.of());
+        id, "service", rack, List.of("a", rack), WorkerCondition.UNKNOWN, WHOLE_WORKER, List.of());
+  }
+
+  private static WorkerSnapshot worker(String id, WorkerCondition condition) {
+    return new WorkerSnapshot(
+        id, "service", "r1", List.of("a", "r1"), condition, WHOLE_WORKER, List.of());
   }
 
   private static WorkerSnapshot occupied(String id, Allocation... allocations) {
     return new WorkerSnapshot(
-        id, "service", "r1", List.of("a", "r1"), true, WHOLE_WORKER, List.of(allocations));
+        id,
+        "service",
+        "r1",
+        List.of("a", "r1"),
+        WorkerCondition.UNKNOWN,
+        WHOLE_WORKER,
+        List.of(allocations));
   }
 
   private static PlacementRequest task(String key, StepSpecification step) {
     String stepKey = key.substring(0, key.lastIndexOf('.'));
-    return new PlacementRequest(key, stepKey, "service", 1, step, 1, Set.of(), Map.of(), 0, 0);
+    return new PlacementRequest(
+        key, stepKey, "service", 1, step, 1, Set.of(), Map.of(), 0, 0, false);
+  }
+
+  private static PlacementRequest lastAttempt(String key, int tasks) {
+    StepSpecification step = new StepBuilder(WHOLE_WORKER).gang(tasks).build();
+    return new PlacementRequest(
+        key, key, "service", 0, step, tasks, Set.of("w9"), Map.of(), 0, 0, true);
   }
 
   private static PlacementRequest gang(String key, StepSpecification step, long waitedMillis) {
     return new PlacementRequest(
-        key, key, "service", 0, step, step.replicas(), Set.of(), Map.of(), waitedMillis, 0);
+        key, key, "service", 0, step, step.replicas(), Set.of(), Map.of(), waitedMillis, 0, false);
   }
 
   /** Builds a step specification. */
