Refuse truthfully where a peer's connection did not open in time, and measure an outage once

Cause: a connection attempt may take longer than a forwarded call, and a call that ended meanwhile was reported as one that may have taken effect. And the age of a topic whose read still waited made a new outage look 2 s old. Change: until the message is sent, a call's timeout means that nothing was sent, and nothing is sent after it. An outage counts from the last contact over any topic. Test failed before: ProtocolTest.

--- a/src/main/java/io/dragonflyturn/internal/ledger/CombinedStoreStatus.java
+++ b/src/main/java/io/dragonflyturn/internal/ledger/CombinedStoreStatus.java
@@ -5,7 +5,8 @@
 import java.util.List;
 
 /**
- * The status of several topics that are used together: as outdated as the most outdated of them.
+ * The status of several topics that are used together. It is as current as the least current topic.
+ * The store counts as unreachable since the last contact over any of the unreachable topics.
  */
 public final class CombinedStoreStatus implements StoreStatus {
   private final List<StoreStatus> topics;
@@ -28,8 +29,9 @@
   @Override
   public Duration unreachableDuration() {
     return topics.stream()
+        .filter(topic -> !topic.isReachable())
         .map(StoreStatus::unreachableDuration)
-        .max(Comparator.naturalOrder())
+        .min(Comparator.naturalOrder())
         .orElse(Duration.ZERO);
   }
 }
--- a/src/main/java/io/dragonflyturn/internal/protocol/ProtocolClient.java
+++ b/src/main/java/io/dragonflyturn/internal/protocol/ProtocolClient.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.concurrent.locks.ReentrantLock;
@@ -25,9 +26,9 @@
  * A client of one peer. It connects on first use and reconnects after the connection is lost, or
  * after a call on it got no answer in time, because such a connection may be dead.
  *
- * <p>A call fails with {@link ResultCode#PEER_UNREACHABLE} if no connection could be made, in which
- * case nothing was sent, and with {@link ResultCode#OUTCOME_UNKNOWN} if the connection was lost or
- * the timeout expired before the answer arrived.
+ * <p>A call fails with {@link ResultCode#PEER_UNREACHABLE} if no connection could be made in time,
+ * in which case nothing is sent, and with {@link ResultCode#OUTCOME_UNKNOWN} if the connection was
+ * lost or the timeout expired before the answer arrived.
  */
 public final class ProtocolClient implements AutoCloseable {
   /** The timeout of a connection attempt in milliseconds. */
@@ -50,11 +51,16 @@
   /** Sends a message and returns a future of its answer. */
   public CompletableFuture<Message> call(Message message, Duration timeout) {
     CompletableFuture<Message> answer = new CompletableFuture<>();
-    execute(() -> send(message, answer), answer);
+    AtomicBoolean decided = new AtomicBoolean();
+    execute(() -> send(message, answer, decided), answer);
     return answer
         .orTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
         .exceptionallyCompose(
-            failure -> CompletableFuture.failedFuture(toDragonflyturnException(failure)));
+            failure ->
+                CompletableFuture.failedFuture(
+                    decided.compareAndSet(false, true)
+                        ? unreachable(failure)
+                        : toDragonflyturnException(failure)));
   }
 
   /**
@@ -75,7 +81,7 @@
     }
   }
 
-  private DragonflyturnException unreachable(Exception cause) {
+  private DragonflyturnException unreachable(Throwable cause) {
     return new DragonflyturnException(
         ResultCode.PEER_UNREACHABLE,
         "No connection to " + address + "; nothing was sent. Try another instance.",
@@ -92,7 +98,13 @@
     }
   }
 
-  private void send(Message message, CompletableFuture<Message> answer) {
+  /**
+   * Sends a message once a connection is open.
+   *
+   * @param decided set by whoever decides first whether the message is sent: this method, or the
+   *     timeout of the call
+   */
+  private void send(Message message, CompletableFuture<Message> answer, AtomicBoolean decided) {
     Connection target;
     try {
       target = connect();
@@ -100,6 +112,9 @@
       answer.completeExceptionally(unreachable(failure));
       return;
     }
+    if (!decided.compareAndSet(false, true)) {
+      return;
+    }
     long correlation = lastCorrelation.incrementAndGet();
     target.pendingCalls.put(correlation, answer);
     answer.whenComplete((done, failure) -> target.callEnded(correlation, failure));
--- a/src/test/java/io/dragonflyturn/internal/protocol/ProtocolTest.java
+++ b/src/test/java/io/dragonflyturn/internal/protocol/ProtocolTest.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -112,6 +113,23 @@
     assertThat(answerAfterReconnect()).isEqualTo(content(2));
   }
 
+  @Test
+  void should_report_that_nothing_was_sent_when_no_connection_opens_in_time() throws IOException {
+    InetAddress host = InetAddress.getLoopbackAddress();
+    try (ServerSocket unresponsive = new ServerSocket(0, 1, host);
+        Socket first = new Socket(host, unresponsive.getLocalPort());
+        Socket second = new Socket(host, unresponsive.getLocalPort());
+        ProtocolClient waiting =
+            new ProtocolClient(loopback(unresponsive.getLocalPort()), metrics)) {
+      assertThat(first.isConnected() && second.isConnected()).isTrue();
+
+      assertThatThrownBy(
+              () -> waiting.call(new Message.Acknowledged(), Duration.ofMillis(200)).join())
+          .cause()
+          .hasFieldOrPropertyWithValue("code", ResultCode.PEER_UNREACHABLE);
+    }
+  }
+
   @Test
   void should_use_a_new_connection_after_a_call_that_got_no_answer() {
     try (Relay relay = new Relay(server.port());
