--- a/src/main/java/io/dragonflyturn/internal/dispatch/Member.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/Member.java
@@ -129,7 +129,7 @@
    * that this leader has started.
    */
   boolean updateProgress(int newPercent, long nowMillis) {
-    boolean isFirstProgress = !adopted && percent == 0 && newPercent > 0;
+    final boolean isFirstProgress = !adopted && percent == 0 && newPercent > 0;
     if (!listed && adopted) {
       earlierRunTimeMillis = unit().step().estimateMillis() * newPercent / FULL_PERCENT;
     }
--- a/src/test/java/io/dragonflyturn/internal/dispatch/CandidacyTest.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/CandidacyTest.java
@@ -101,7 +101,7 @@
       fixture.instance("long-running-" + number, DispatchFixture.LARGE);
     }
     fixture.advance(60_000);
-    Instance restarted = fixture.instance("restarted", DispatchFixture.LARGE);
+    final Instance restarted = fixture.instance("restarted", DispatchFixture.LARGE);
     fixture.advance(2_000);
 
     Instance leader = fixture.leader();
