--- a/src/main/java/io/dragonflyturn/internal/dispatch/LeaderElection.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LeaderElection.java
@@ -48,7 +48,7 @@
 
   /**
    * How much longer a process that has run for a long time waits after a release than one that has
-   * just started. In a rolling restart, the leadership so goes to a process that stays.
+   * just started, so that in a rolling restart the leadership goes to a process that stays.
    */
   private static final long MAXIMUM_UPTIME_DELAY_MILLIS = 200;
 
