--- a/src/main/java/io/dragonflyturn/internal/intake/JobRequestHandler.java
+++ b/src/main/java/io/dragonflyturn/internal/intake/JobRequestHandler.java
@@ -38,6 +38,7 @@
  */
 public final class JobRequestHandler {
   private static final byte[] CANCELLED = {1};
+  private static final long RETRY_AFTER_SECONDS = 1;
 
   /** How long a write may be pending before the call is also sent to a peer. */
   private static final long HEDGE_DELAY_MILLIS = 700;
@@ -114,7 +115,7 @@
   private CompletableFuture<CallerAnswer> answerWithoutPeers(CallerCall call) {
     return configurationVersion() >= newestSeenConfigurationVersion
         ? answerLocally(call)
-        : completed(unavailable());
+        : completed(new Unavailable(RETRY_AFTER_SECONDS));
   }
 
   private CompletableFuture<CallerAnswer> acceptPeerAnswer(PeerAnswer answer) {
@@ -123,10 +124,6 @@
     return completed(answer.answer());
   }
 
-  private Unavailable unavailable() {
-    return new Unavailable(RetryAfter.seconds(storeStatus.unreachableDuration()));
-  }
-
   private long configurationVersion() {
     CallerConfiguration current = configuration.get();
     return current == null ? 0 : current.version();
@@ -149,7 +146,7 @@
         storeStatus.isReachable()
             && version >= Math.max(minConfigurationVersion, newestSeenConfigurationVersion);
     CompletableFuture<CallerAnswer> answer =
-        current ? answerLocally(call) : completed(unavailable());
+        current ? answerLocally(call) : completed(new Unavailable(RETRY_AFTER_SECONDS));
     return answer.thenApply(forwardedAnswer -> new PeerAnswer(forwardedAnswer, version));
   }
 
@@ -201,7 +198,7 @@
       CallerRequest request, AuthorizedAction action) {
     CallerConfiguration current = configuration.get();
     if (current == null || !storeStatus.isLoaded()) {
-      return completed(unavailable());
+      return completed(new Unavailable(RETRY_AFTER_SECONDS));
     }
     CallerQueue queue = current.findQueue(request.host(), request.path());
     if (queue == null) {
@@ -229,7 +226,7 @@
     if (pendingWrite == null) {
       if (storeStatus.unreachableDuration().compareTo(MAX_STORE_OUTAGE) > 0) {
         log("job-refused", id, call.configuration, "store-silent");
-        return completed(unavailable());
+        return completed(new Unavailable(RETRY_AFTER_SECONDS));
       }
       SubmittedJob submission =
           new SubmittedJob(
@@ -259,7 +256,7 @@
       return completed(new Accepted());
     }
     if (storeStatus.unreachableDuration().compareTo(MAX_STORE_OUTAGE) > 0) {
-      return completed(unavailable());
+      return completed(new Unavailable(RETRY_AFTER_SECONDS));
     }
     CompletableFuture<WriteResult> pendingWrite =
         writer.write(new KeyedRecord(LedgerKeys.cancellation(id), CANCELLED));
@@ -276,7 +273,7 @@
    * directory may be stale, so the job may exist.
    */
   private CallerAnswer noSuchJob() {
-    return storeStatus.isReachable() ? new NoSuchJob() : unavailable();
+    return storeStatus.isReachable() ? new NoSuchJob() : new Unavailable(RETRY_AFTER_SECONDS);
   }
 
   private CompletableFuture<CallerAnswer> answerWhenWritten(
@@ -301,7 +298,7 @@
     log(operation + "-" + result, id, call.configuration, call.queue.policy().name());
     return switch (result) {
       case STORED -> new Accepted();
-      case REFUSED -> unavailable();
+      case REFUSED -> new Unavailable(RETRY_AFTER_SECONDS);
       case FENCED -> new OutcomeUnknown();
     };
   }
