--- a/src/test/java/io/dragonflyturn/internal/ledger/TopicConsumerTest.java
+++ b/src/test/java/io/dragonflyturn/internal/ledger/TopicConsumerTest.java
@@ -46,7 +46,7 @@
             monotonicClock,
             events);
     eventLoop.submit(consumer::start).get(5, TimeUnit.SECONDS);
-    while (!consumer.isLoaded()) {
+    while (!consumer.isLoaded() || store.reads.isEmpty()) {
       Thread.sleep(5);
     }
   }
