--- a/src/main/java/io/dragonflyturn/internal/dispatch/InfeasibleRequests.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/InfeasibleRequests.java
@@ -18,9 +18,9 @@
   private final Map<Scope, List<Resources>> infeasibleDemands = new HashMap<>();
 
   /**
-   * Records that a request does not fit, even with preemption. Requests for several tasks and
-   * requests that avoid workers are ignored, because they say nothing about a single task on any
-   * worker.
+   * Records that a request does not fit, even with preemption. Requests for several tasks, requests
+   * that avoid workers, and last attempts, which may use proven workers only, are ignored, because
+   * they say nothing about a single task on any worker.
    */
   void add(PlacementRequest request) {
     boolean isSpecific =
--- a/src/main/java/io/dragonflyturn/internal/dispatch/LeaderElection.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LeaderElection.java
@@ -20,8 +20,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Elects a leader through conditional appends to the jobs topic. An instance becomes a candidate if
- * the leader has written nothing to the topic for a timeout.
+ * Elects a leader through appends to the jobs topic. An instance becomes a candidate if the leader
+ * has written nothing to the topic for a timeout.
  *
  * <p>A candidate appends a record with the next term. The term is also the epoch of the append, and
  * each candidate starts with a random sequence number, so the store accepts only the first append
@@ -64,8 +64,8 @@
   private final Listener listener;
   private final long candidacySpreadMillis;
   private final long candidacyDelayMillis;
-  private LeadershipRecord lastRecord = LeadershipRecord.NONE;
   private final long startedMillis;
+  private LeadershipRecord lastRecord = LeadershipRecord.NONE;
   private long lastActivityMillis;
   private long readOffset;
 
--- a/src/main/java/io/dragonflyturn/internal/logging/EventLoop.java
+++ b/src/main/java/io/dragonflyturn/internal/logging/EventLoop.java
@@ -1,7 +1,5 @@
 package io.dragonflyturn.internal.logging;
 
-import java.util.concurrent.CancellationException;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.atomic.AtomicLong;
@@ -39,19 +37,8 @@
   }
 
   private static @Nullable Throwable failureOf(Runnable task) {
-    if (!(task instanceof Future<?> future) || !future.isDone()) {
-      return null;
-    }
-    try {
-      future.get();
-      return null;
-    } catch (ExecutionException failed) {
-      return failed.getCause();
-    } catch (CancellationException cancelled) {
-      return null;
-    } catch (InterruptedException interrupted) {
-      Thread.currentThread().interrupt();
-      return null;
-    }
+    return task instanceof Future<?> future && future.state() == Future.State.FAILED
+        ? future.exceptionNow()
+        : null;
   }
 }
