Answer a read in TopicConsumerTest only once the consumer has registered for it

Cause: the test took the pending read as soon as the store had listed it, which may be before the consumer has registered for the answer. Its task on the event loop then went ahead of the consumer's. Answers are now given on the event loop, as a task after the one that sends the read. Assertions are as they were; TopicConsumer is not changed.

--- a/src/test/java/io/dragonflyturn/internal/ledger/TopicConsumerTest.java
+++ b/src/test/java/io/dragonflyturn/internal/ledger/TopicConsumerTest.java
@@ -77,8 +77,7 @@
       throws Exception {
     nowMillis.addAndGet(4_000);
 
-    store.answerNextRead();
-    eventLoop.submit(() -> {}).get(5, TimeUnit.SECONDS);
+    answerNextRead();
 
     assertThat(consumer.isReachable()).isFalse();
   }
@@ -87,10 +86,9 @@
   void should_be_reachable_again_with_the_first_answer_that_was_requested_after_a_pause()
       throws Exception {
     nowMillis.addAndGet(4_000);
-    store.answerNextRead();
+    answerNextRead();
 
-    store.answerNextRead();
-    eventLoop.submit(() -> {}).get(5, TimeUnit.SECONDS);
+    answerNextRead();
 
     assertThat(consumer.isReachable()).isTrue();
     assertThat(store.waits).startsWith(Duration.ofSeconds(1), Duration.ZERO);
@@ -98,24 +96,36 @@
 
   @Test
   void should_read_on_after_a_record_that_the_listener_fails_on() throws Exception {
-    store.answerNextRead("first", RecordingListener.POISON, "second");
-    store.answerNextRead("third");
+    answerNextRead("first", RecordingListener.POISON, "second");
+    answerNextRead("third");
 
-    eventLoop.submit(() -> {}).get(5, TimeUnit.SECONDS);
     assertThat(listener.appliedKeys).containsExactly("first", "second", "third");
   }
 
+  /**
+   * Answers the next pending read, and waits until the consumer has handled the answer. The answer
+   * is given on the event loop, which ends its current task first, so the consumer has registered
+   * for it by then.
+   */
+  private void answerNextRead(String... keys) throws Exception {
+    CompletableFuture<RecordStore.Slice> pending = store.takeNextRead();
+    List<KeyedRecord> records =
+        Stream.of(keys).map(key -> new KeyedRecord(key, new byte[] {1})).toList();
+    eventLoop
+        .submit(() -> pending.complete(new RecordStore.Slice(false, records)))
+        .get(5, TimeUnit.SECONDS);
+    eventLoop.submit(() -> {}).get(5, TimeUnit.SECONDS);
+  }
+
   /** Reports an empty topic, and leaves every read pending until the test answers it. */
   private static final class PendingReadsStore implements RecordStore {
     private final BlockingQueue<CompletableFuture<Slice>> reads = new LinkedBlockingQueue<>();
     private final List<Duration> waits = new CopyOnWriteArrayList<>();
 
-    void answerNextRead(String... keys) throws InterruptedException {
-      List<KeyedRecord> records =
-          Stream.of(keys).map(key -> new KeyedRecord(key, new byte[] {1})).toList();
+    CompletableFuture<Slice> takeNextRead() throws InterruptedException {
       CompletableFuture<Slice> pending = reads.poll(5, TimeUnit.SECONDS);
       assertThat(pending).as("a read is sent").isNotNull();
-      pending.complete(new Slice(false, records));
+      return pending;
     }
 
     @Override
