Place a gang on workers it failed on where the others can never hold it

Cause: PlacementPlanner left out every worker that a unit had failed on as long as any other was left. Change: failed and unhealthy workers are used, after the others, where the others could not hold the unit even if nothing ran on them.

--- a/src/main/java/io/dragonflyturn/internal/dispatch/Candidate.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/Candidate.java
@@ -132,6 +132,18 @@
         && (step.requiredLabel().isEmpty() || worker.labels().contains(step.requiredLabel()));
   }
 
+  /** Returns whether the worker is healthy and the unit has not failed on it. */
+  boolean isPreferredFor(PlacementRequest request) {
+    return worker.healthy() && !request.failedWorkers().contains(id());
+  }
+
+  /** Returns how many tasks of a request would fit if nothing ran on the worker. */
+  int copiesWhenEmpty(PlacementRequest request) {
+    int perWorker = request.step().maximumPerWorker();
+    int limit = perWorker > 0 ? Math.min(request.tasks(), perWorker) : request.tasks();
+    return worker.capacity().copiesThatFit(request.step().demand(), limit);
+  }
+
   /**
    * Returns how many tasks of a request fit into the available resources, within the limit per
    * worker.
--- a/src/main/java/io/dragonflyturn/internal/dispatch/PlacementPlanner.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/PlacementPlanner.java
@@ -99,21 +99,23 @@
 
   /**
    * Returns the workers that may run a unit; unhealthy workers and workers on which it failed only
-   * if there are no others.
+   * if it could never run without them.
    */
   private List<Candidate> eligible(PlacementRequest request) {
-    List<Candidate> eligible = new ArrayList<>();
-    List<Candidate> fallback = new ArrayList<>();
+    List<Candidate> matching = new ArrayList<>();
+    List<Candidate> preferred = new ArrayList<>();
     for (Candidate candidate : candidatesById.values()) {
-      if (!candidate.matches(request)) {
-        continue;
+      if (candidate.matches(request)) {
+        matching.add(candidate);
+        if (candidate.isPreferredFor(request)) {
+          preferred.add(candidate);
+        }
       }
-      boolean preferred =
-          candidate.worker().healthy() && !request.failedWorkers().contains(candidate.id());
-      (preferred ? eligible : fallback).add(candidate);
     }
+    boolean preferredSuffice =
+        preferred.stream().mapToInt(each -> each.copiesWhenEmpty(request)).sum() >= request.tasks();
     return excludeReserved(
-        request, onlyProvenForLastAttempt(request, eligible.isEmpty() ? fallback : eligible));
+        request, onlyProvenForLastAttempt(request, preferredSuffice ? preferred : matching));
   }
 
   /** Keeps only proven workers for a last attempt, unless the unit could never run on them. */
@@ -205,7 +207,10 @@
         && racks(candidates).stream().anyMatch(rack -> fitsWhenEmpty(request, rack));
   }
 
-  /** Returns whether all tasks of a unit would fit if nothing else ran on the workers. */
+  /**
+   * Returns whether all tasks of a unit would fit on the workers if these ran nothing but other
+   * runs of its step.
+   */
   private static boolean fitsWhenEmpty(PlacementRequest request, List<Candidate> candidates) {
     int copies = 0;
     for (Candidate candidate : candidates) {
@@ -242,8 +247,9 @@
   }
 
   /**
-   * Returns a worker for each task, or null if not all tasks fit. Prefers workers with the lowest
-   * preemption cost, then those that fit the most tasks, so that few workers are used.
+   * Returns a worker for each task, or null if not all tasks fit. Uses unhealthy workers and those
+   * on which the unit failed last; prefers workers with the lowest preemption cost, then those that
+   * fit the most tasks, so that few workers are used.
    */
   private static @Nullable List<Candidate> fill(
       PlacementRequest request, List<Candidate> candidates, ResourceView view) {
@@ -261,7 +267,8 @@
       }
     }
     Comparator<Offer> order =
-        Comparator.comparingLong((Offer offer) -> offer.preemptionCost)
+        Comparator.comparing((Offer offer) -> !offer.candidate.isPreferredFor(request))
+            .thenComparingLong(offer -> offer.preemptionCost)
             .thenComparingInt(offer -> -Math.min(offer.copies, request.tasks()))
             .thenComparingInt(offer -> offer.free.accelerators())
             .thenComparingLong(offer -> offer.free.processorMillis())
--- a/src/test/java/io/dragonflyturn/internal/dispatch/PlacementPlannerTest.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/PlacementPlannerTest.java
@@ -113,6 +113,20 @@
     assertThat(plan.placed()).containsExactly(new PlacedUnit("j.0.0.0", List.of("w2")));
   }
 
+  @Test
+  void should_use_failed_workers_for_a_gang_that_could_never_run_on_the_others() {
+    StepSpecification step = new StepBuilder(WHOLE_WORKER).gang(2).build();
+    PlacementRequest request =
+        new PlacementRequest(
+            "j.0.0", "j.0.0", "service", 1, step, 2, Set.of("w1", "w2"), Map.of(), 0, 0, false);
+    List<WorkerSnapshot> fleet =
+        List.of(worker("w1", "r1"), worker("w2", "r1"), worker("w3", "r1"));
+
+    PlacementPlan plan = plan(fleet, List.of(request));
+
+    assertThat(plan.placed()).containsExactly(new PlacedUnit("j.0.0", List.of("w3", "w1")));
+  }
+
   @Test
   void should_use_a_suspect_worker_only_if_no_other_is_free() {
     StepSpecification step = new StepBuilder(WHOLE_WORKER).gang(1).build();
