Keep connections after a timeout as long as the server answers others

Cause: since a timeout closed all idle connections to that server, and a peer's connection was given up after one unanswered call.

--- a/src/main/java/io/dragonflyturn/internal/protocol/ProtocolClient.java
+++ b/src/main/java/io/dragonflyturn/internal/protocol/ProtocolClient.java
@@ -24,7 +24,8 @@
 
 /**
  * A client of one peer. It connects on first use and reconnects after the connection is lost, or
- * after a call on it got no answer in time, because such a connection may be dead.
+ * after a call on it got no answer in time and nothing else arrived meanwhile, because such a
+ * connection may be dead.
  *
  * <p>A call fails with {@link ResultCode#PEER_UNREACHABLE} if no connection could be made in time,
  * in which case nothing is sent, and with {@link ResultCode#OUTCOME_UNKNOWN} if the connection was
@@ -116,8 +117,9 @@
       return;
     }
     long correlation = lastCorrelation.incrementAndGet();
+    long framesWhenSent = target.receivedFrames.get();
     target.pendingCalls.put(correlation, answer);
-    answer.whenComplete((done, failure) -> target.callEnded(correlation, failure));
+    answer.whenComplete((done, failure) -> target.callEnded(correlation, framesWhenSent, failure));
     try {
       target.stream.write(new Frame(correlation, false, message));
     } catch (IOException broken) {
@@ -177,6 +179,7 @@
   private static final class Connection {
     private final FrameStream stream;
     private final Map<Long, CompletableFuture<Message>> pendingCalls = new ConcurrentHashMap<>();
+    private final AtomicLong receivedFrames = new AtomicLong();
     private volatile boolean ended;
 
     /** Whether no further calls are sent on this connection. */
@@ -189,7 +192,9 @@
     void readLoop() {
       try {
         while (true) {
-          complete(stream.read());
+          Frame frame = stream.read();
+          receivedFrames.incrementAndGet();
+          complete(frame);
         }
       } catch (IOException | DragonflyturnException broken) {
         fail();
@@ -208,10 +213,15 @@
       }
     }
 
-    /** Retires the connection after an unanswered call; closes it after its last call. */
-    void callEnded(long correlation, @Nullable Throwable failure) {
+    /**
+     * Retires the connection after an unanswered call during which nothing else arrived; closes it
+     * after its last call.
+     *
+     * @param framesWhenSent how many frames had arrived when the call was sent
+     */
+    void callEnded(long correlation, long framesWhenSent, @Nullable Throwable failure) {
       pendingCalls.remove(correlation);
-      if (failure instanceof TimeoutException) {
+      if (failure instanceof TimeoutException && receivedFrames.get() == framesWhenSent) {
         retired = true;
       }
       if (retired && pendingCalls.isEmpty()) {
--- a/src/test/java/io/dragonflyturn/internal/protocol/ProtocolTest.java
+++ b/src/test/java/io/dragonflyturn/internal/protocol/ProtocolTest.java
@@ -145,6 +145,21 @@
     }
   }
 
+  @Test
+  void should_keep_the_connection_after_an_unanswered_call_while_others_are_answered() {
+    try (Relay relay = new Relay(server.port());
+        ProtocolClient relayed = new ProtocolClient(loopback(relay.port()), metrics)) {
+      CompletableFuture<Message> unanswered =
+          relayed.call(new Message.Acknowledged(), Duration.ofMillis(500));
+      relayed.call(new Message.Forward(content(1)), TIMEOUT).join();
+      assertThatThrownBy(unanswered::join);
+
+      relayed.call(new Message.Forward(content(2)), TIMEOUT).join();
+
+      assertThat(relay.acceptedConnections()).isEqualTo(1);
+    }
+  }
+
   @Test
   void should_answer_a_message_that_the_handler_fails_on() {
     server.close();
--- a/src/test/java/io/dragonflyturn/scenario/Relay.java
+++ b/src/test/java/io/dragonflyturn/scenario/Relay.java
@@ -21,6 +21,7 @@
   private final InetSocketAddress target;
   private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
   private final AtomicInteger generation = new AtomicInteger();
+  private final AtomicInteger acceptedConnections = new AtomicInteger();
   private volatile Mode mode = Mode.OPEN;
   private volatile long delayMillis;
 
@@ -52,6 +53,11 @@
     return listener.getLocalPort();
   }
 
+  /** Returns how many connections callers have opened. */
+  public int acceptedConnections() {
+    return acceptedConnections.get();
+  }
+
   /** Changes the mode. */
   public void set(Mode newMode) {
     mode = newMode;
@@ -86,6 +92,7 @@
     try {
       while (!listener.isClosed()) {
         Socket caller = listener.accept();
+        acceptedConnections.incrementAndGet();
         if (mode == Mode.CUT) {
           caller.close();
         } else {
