Limit the orders to workers that await an answer, by how fast answers come

Cause: the leader sent all start orders of a planning round at once. With little processor time, for example just after its start, it needs longer for them than their timeout of 500 ms, repeats all of them, stops the runs and places them again: the load that it makes itself keeps it from ever catching up. Change: orders wait in OrderQueue and are created when they are sent, so that a lease or a cancellation is judged at that moment. OrderConcurrency lowers the limit while answers are slow and raises it while they are fast; workers take turns, with four orders each at most.

--- /dev/null
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/OrderQueue.java
@@ -0,0 +1,126 @@
+package io.dragonflyturn.internal.dispatch;
+
+import io.dragonflyturn.internal.fleet.OrderAnswer;
+import io.dragonflyturn.internal.fleet.OrderAnswer.Unanswered;
+import io.dragonflyturn.internal.logging.LoggedCallback;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.SequencedSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Sends orders to workers, within {@link OrderConcurrency} and a limit per worker. Workers with
+ * waiting orders take turns. Not thread-safe; used on the event loop only.
+ *
+ * <p>An order is created only when it is sent, so that it is based on the state and the lease of
+ * that moment.
+ */
+final class OrderQueue {
+  private static final int MAXIMUM_ORDERS_PER_WORKER = 4;
+
+  private final DispatchContext context;
+  private final OrderConcurrency concurrency = new OrderConcurrency();
+  private final Map<String, WorkerOrders> ordersByWorker = new HashMap<>();
+
+  /** The workers that have waiting orders and may get one, in the order of their turns. */
+  private final SequencedSet<WorkerOrders> turns = new LinkedHashSet<>();
+
+  private int unanswered;
+
+  OrderQueue(DispatchContext context) {
+    this.context = context;
+  }
+
+  /** Creates an order and sends it. */
+  @FunctionalInterface
+  interface Sender {
+    /** Returns a future of the answer; null if the order is no longer needed. */
+    @Nullable CompletableFuture<OrderAnswer> send();
+  }
+
+  /** An order that waits to be sent. */
+  private record Waiting(Sender sender, Consumer<OrderAnswer> onAnswer) {}
+
+  /** The orders to one worker. */
+  private static final class WorkerOrders {
+    private final String worker;
+    private final Deque<Waiting> waiting = new ArrayDeque<>();
+    private int unanswered;
+
+    WorkerOrders(String worker) {
+      this.worker = worker;
+    }
+  }
+
+  /**
+   * Sends an order to a worker as soon as the limits allow it.
+   *
+   * @param onAnswer receives the answer on the event loop; not called if the order is no longer
+   *     needed
+   */
+  void submit(String worker, Sender sender, Consumer<OrderAnswer> onAnswer) {
+    WorkerOrders orders = ordersByWorker.computeIfAbsent(worker, WorkerOrders::new);
+    orders.waiting.add(new Waiting(sender, onAnswer));
+    updateTurn(orders);
+    sendWaiting();
+  }
+
+  private void updateTurn(WorkerOrders orders) {
+    if (!orders.waiting.isEmpty() && orders.unanswered < MAXIMUM_ORDERS_PER_WORKER) {
+      turns.add(orders);
+    } else {
+      turns.remove(orders);
+    }
+    if (orders.waiting.isEmpty() && orders.unanswered == 0) {
+      ordersByWorker.remove(orders.worker, orders);
+    }
+  }
+
+  private void sendWaiting() {
+    while (unanswered < concurrency.limit() && !turns.isEmpty()) {
+      WorkerOrders orders = turns.removeFirst();
+      send(orders, orders.waiting.remove());
+      updateTurn(orders);
+    }
+  }
+
+  private void send(WorkerOrders orders, Waiting order) {
+    CompletableFuture<OrderAnswer> answer = order.sender.send();
+    if (answer == null) {
+      return;
+    }
+    long sentMillis = context.nowMillis();
+    unanswered++;
+    orders.unanswered++;
+    answer.whenCompleteAsync(
+        LoggedCallback.of(
+            context.events(),
+            "orderAnswered",
+            (received, failure) ->
+                handleAnswer(
+                    orders, order, sentMillis, received == null ? new Unanswered() : received)),
+        context.eventLoop());
+  }
+
+  private void handleAnswer(
+      WorkerOrders orders, Waiting order, long sentMillis, OrderAnswer answer) {
+    if (answer instanceof Unanswered) {
+      concurrency.unanswered(sentMillis, context.nowMillis());
+    } else {
+      concurrency.answered(sentMillis, context.nowMillis());
+    }
+    unanswered--;
+    orders.unanswered--;
+    updateTurn(orders);
+    try {
+      order.onAnswer.accept(answer);
+    } finally {
+      sendWaiting();
+    }
+  }
+}
--- a/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
@@ -11,11 +11,11 @@
 import io.dragonflyturn.internal.ledger.KeyedRecord;
 import io.dragonflyturn.internal.ledger.SequencedWriter;
 import io.dragonflyturn.internal.ledger.WriteResult;
-import io.dragonflyturn.internal.logging.LoggedCallback;
 import io.dragonflyturn.internal.workload.WorkloadCodec;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Starts and stops runs on workers. It stores each placement before it sends a start order, repeats
@@ -34,6 +34,7 @@
   private final SequencedWriter writer;
   private final WorkerHealth health;
   private final Listener listener;
+  private final OrderQueue orders;
   private CompletableFuture<WriteResult> lastWrite =
       CompletableFuture.completedFuture(WriteResult.STORED);
   private boolean closed;
@@ -49,6 +50,7 @@
     this.writer = writer;
     this.health = health;
     this.listener = listener;
+    this.orders = new OrderQueue(context);
   }
 
   void close() {
@@ -207,8 +209,14 @@
   }
 
   private void sendStart(Member member) {
-    if (closed || member.isResolved()) {
-      return;
+    orders.submit(
+        member.session().id(), () -> orderStart(member), answer -> startAnswered(member, answer));
+  }
+
+  /** Sends a start order. Returns a future of its answer; null if the member must not start. */
+  private @Nullable CompletableFuture<OrderAnswer> orderStart(Member member) {
+    if (closed || member.isResolved() || member.isStopRequested()) {
+      return null;
     }
     ActiveRun run = member.run();
     WorkUnit unit = run.unit();
@@ -217,7 +225,7 @@
     }
     if (run.isAborting()) {
       requestStop(member);
-      return;
+      return null;
     }
     WorkerSession session = member.session();
     member.markSent();
@@ -232,15 +240,7 @@
             unit.checkpoint(),
             leaseUntilMillis,
             term);
-    context
-        .gateway()
-        .start(session.registration(), order)
-        .whenCompleteAsync(
-            LoggedCallback.of(
-                context.events(),
-                "startAnswered",
-                (answer, failure) -> startAnswered(member, answer)),
-            context.eventLoop());
+    return context.gateway().start(session.registration(), order);
   }
 
   private void startAnswered(Member member, OrderAnswer answer) {
@@ -340,19 +340,17 @@
   }
 
   private void sendStop(Member member) {
+    orders.submit(
+        member.session().id(), () -> orderStop(member), answer -> stopAnswered(member, answer));
+  }
+
+  /** Sends a stop order. Returns a future of its answer; null if the member has ended. */
+  private @Nullable CompletableFuture<OrderAnswer> orderStop(Member member) {
     if (closed || member.isResolved()) {
-      return;
+      return null;
     }
     StopOrder order = new StopOrder(member.task(), member.run().number(), term);
-    context
-        .gateway()
-        .stop(member.session().registration(), order)
-        .whenCompleteAsync(
-            LoggedCallback.of(
-                context.events(),
-                "stopAnswered",
-                (answer, failure) -> stopAnswered(member, answer)),
-            context.eventLoop());
+    return context.gateway().stop(member.session().registration(), order);
   }
 
   private void stopAnswered(Member member, OrderAnswer answer) {
--- a/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
@@ -33,6 +33,7 @@
 
   private static final long ANSWER_DELAY_MILLIS = 2;
   private static final long FAILURE_DELAY_MILLIS = 40;
+  private static final long ORDER_TIMEOUT_MILLIS = 500;
 
   private final ManualLoop loop;
   private final Map<String, Worker> workers = new LinkedHashMap<>();
@@ -47,6 +48,9 @@
   private long unhealthyUntilMillis;
   private int stoppedRuns;
   private int runsToStall;
+  private long sendMillis;
+  private long sendingUntilMillis;
+  private int unansweredOrders;
 
   FakeWorkers(ManualLoop loop) {
     this.loop = loop;
@@ -98,6 +102,14 @@
     failingAllRuns.add(id);
   }
 
+  /**
+   * Sets how long the leader's process needs to send an order and to receive its answer. Further
+   * orders wait for it meanwhile, and time out if they wait too long.
+   */
+  void setSendMillis(long millis) {
+    sendMillis = millis;
+  }
+
   /** Makes polls of a worker fail with an exception instead of an answer. */
   void failPolls(String id) {
     failing.add(id);
@@ -134,6 +146,11 @@
     return stoppedRuns;
   }
 
+  /** Returns how many orders timed out because earlier ones were being sent. */
+  int unansweredOrders() {
+    return unansweredOrders;
+  }
+
   int starts(String task) {
     return starts.getOrDefault(task, 0);
   }
@@ -192,11 +209,20 @@
     CompletableFuture<OrderAnswer> answer = new CompletableFuture<>();
     if (disconnected.contains(id)) {
       loop.schedule(
-          () -> answer.complete(new OrderAnswer.Unanswered()), 500, TimeUnit.MILLISECONDS);
-    } else {
+          () -> answer.complete(new OrderAnswer.Unanswered()),
+          ORDER_TIMEOUT_MILLIS,
+          TimeUnit.MILLISECONDS);
+      return answer;
+    }
+    sendingUntilMillis = Math.max(loop.millis(), sendingUntilMillis) + sendMillis;
+    long answerMillis = sendingUntilMillis - loop.millis() + ANSWER_DELAY_MILLIS;
+    loop.schedule(
+        () -> answer.complete(action.apply(worker(id))), answerMillis, TimeUnit.MILLISECONDS);
+    if (answerMillis > ORDER_TIMEOUT_MILLIS) {
+      unansweredOrders++;
       loop.schedule(
-          () -> answer.complete(action.apply(worker(id))),
-          ANSWER_DELAY_MILLIS,
+          () -> answer.complete(new OrderAnswer.Unanswered()),
+          ORDER_TIMEOUT_MILLIS,
           TimeUnit.MILLISECONDS);
     }
     return answer;
