--- a/src/main/java/io/dragonflyturn/internal/dispatch/DispatchContext.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/DispatchContext.java
@@ -2,7 +2,9 @@
 
 import io.dragonflyturn.internal.fleet.WorkerGateway;
 import io.dragonflyturn.internal.ledger.RecordStore;
+import io.dragonflyturn.internal.ledger.StoreStatus;
 import io.dragonflyturn.internal.logging.EventLog;
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.concurrent.ScheduledExecutorService;
 
@@ -15,6 +17,7 @@
  * @param gateway sends orders to workers
  * @param workerFeed reports the registrations of workers
  * @param rules the decisions of operators about failure domains
+ * @param rulesStatus how current the rules and the guarantees are
  * @param guarantees the accelerators that the configuration guarantees to customers
  * @param directory the directory of all jobs
  * @param eventLoop the event loop on which all callbacks run
@@ -31,6 +34,7 @@
     WorkerGateway gateway,
     WorkerFeed workerFeed,
     DomainRules rules,
+    StoreStatus rulesStatus,
     CustomerGuarantees guarantees,
     JobDirectory directory,
     ScheduledExecutorService eventLoop,
@@ -39,6 +43,15 @@
     DispatchSettings settings,
     EventLog events,
     DispatchMetrics metrics) {
+  /** How old the rules may be when a run is placed. */
+  private static final Duration MAXIMUM_RULES_AGE = Duration.ofSeconds(3);
+
+  /** Returns whether the rules are known and recent enough to place runs. */
+  boolean areRulesCurrent() {
+    return rulesStatus.isLoaded()
+        && rulesStatus.unreachableDuration().compareTo(MAXIMUM_RULES_AGE) <= 0;
+  }
+
   long nowMillis() {
     return monotonicClock.millis();
   }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
@@ -120,13 +120,16 @@
   }
 
   /**
-   * Starts executing jobs once the stored runs, the workers, and all jobs that were stored before
-   * this term are known.
+   * Starts executing jobs once the stored runs, the workers, the rules of operators, and all jobs
+   * that were stored before this term are known.
    */
   void startIfLoaded() {
     LoadedRuns runs = loadedRuns;
-    boolean hasReadOwnRecord = context.directory().leadership().term() >= term;
-    if (ready || closed || runs == null || !hasReadOwnRecord || !context.workerFeed().isSynced()) {
+    boolean hasReadAll =
+        context.directory().leadership().term() >= term
+            && context.workerFeed().isSynced()
+            && context.rulesStatus().isLoaded();
+    if (ready || closed || runs == null || !hasReadAll) {
       return;
     }
     ready = true;
--- a/src/main/java/io/dragonflyturn/internal/dispatch/PlacementLoop.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/PlacementLoop.java
@@ -88,7 +88,7 @@
     PlanningRound round =
         new PlanningRound(context, fleet.sessions(), jobs.values(), health, headroom);
     Map<String, WorkUnit> waiting = round.waitingUnits();
-    if (waiting.isEmpty() || runsWriter.isRetrying()) {
+    if (waiting.isEmpty() || runsWriter.isRetrying() || !context.areRulesCurrent()) {
       return;
     }
     PlacementPlan plan = round.plan(waiting.values());
--- a/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
@@ -222,6 +222,8 @@
     WorkUnit unit = run.unit();
     if (unit.job().isEnding()) {
       abort(run, "job-ended");
+    } else if (context.rules().isOutOfService(member.session().registration().failureDomain())) {
+      abort(run, "failure-domain-out");
     }
     if (run.isAborting()) {
       requestStop(member);
--- a/src/test/java/io/dragonflyturn/internal/dispatch/DispatchFixture.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/DispatchFixture.java
@@ -14,6 +14,7 @@
 import io.dragonflyturn.internal.ledger.KeyedRecord;
 import io.dragonflyturn.internal.ledger.RecordStore;
 import io.dragonflyturn.internal.ledger.SequencedWriter;
+import io.dragonflyturn.internal.ledger.StoreStatus;
 import io.dragonflyturn.internal.ledger.TopicConsumer;
 import io.dragonflyturn.internal.logging.EventLog;
 import io.dragonflyturn.internal.workload.JobState;
@@ -46,6 +47,7 @@
   final FakeRecordStore store = new FakeRecordStore(loop);
   final FakeWorkers workers = new FakeWorkers(loop);
   final Set<String> domainsOutOfService = new HashSet<>();
+  final RulesStatus rulesStatus = new RulesStatus();
   final Map<String, Long> guarantees = new HashMap<>();
   private final List<Instance> instances = new ArrayList<>();
   private final EventLog events = new EventLog(System.err, loop, "test");
@@ -86,6 +88,7 @@
                   new DisconnectableGateway(workers, connection),
                   feed,
                   domainsOutOfService::contains,
+                  rulesStatus,
                   customer -> guarantees.getOrDefault(customer, 0L),
                   directory,
                   loop,
@@ -186,6 +189,27 @@
         replicas, demand, 3_000, List.of(), false, gang, false, "", "", 0, false, false);
   }
 
+  /** How current the rules of operators are, as set by the test. */
+  static final class RulesStatus implements StoreStatus {
+    boolean loaded = true;
+    Duration unreachable = Duration.ZERO;
+
+    @Override
+    public boolean isLoaded() {
+      return loaded;
+    }
+
+    @Override
+    public boolean isReachable() {
+      return unreachable.isZero();
+    }
+
+    @Override
+    public Duration unreachableDuration() {
+      return unreachable;
+    }
+  }
+
   /** Reports the registrations of the in-memory workers. */
   private final class FakeWorkerFeed implements WorkerFeed {
     private boolean started;
