Let orders wait up to half of their timeout before their limit falls

Cause: the limit fell when an answer took 100 ms. A leader that gets its processor time in portions of about 100 ms was held at four orders, though it could handle more. Change: the limit falls from 250 ms on, half of the time after which an order counts as unanswered.

--- a/src/main/java/io/dragonflyturn/internal/dispatch/OrderConcurrency.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/OrderConcurrency.java
@@ -15,8 +15,11 @@
   private static final int MINIMUM_LIMIT = 4;
   private static final int MAXIMUM_LIMIT = 256;
 
-  /** The time of an answer above which the limit falls, in milliseconds. */
-  private static final long SLOW_ANSWER_MILLIS = 100;
+  /**
+   * The time of an answer above which the limit falls, in milliseconds; half of the time after
+   * which an order counts as unanswered.
+   */
+  private static final long SLOW_ANSWER_MILLIS = 250;
 
   private static final double DECREASE_FACTOR = 0.5;
 
