Count a failed run once, also when two leaders read its end

Cause: the failure of a gang's member is stored while the other members are still being stopped. The record said PLACED and already included the failure; a new leader that adopted the run read the same end once more, because it was not yet acknowledged, and counted it again. Change: the phase FAILING, added after the others, says that the failure of the latest run is counted. A build that does not know it cannot decode the record and suspends the job; it matters only in a rolling replacement, for a gang that fails just then.

--- a/src/main/java/io/dragonflyturn/internal/dispatch/ActiveRun.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/ActiveRun.java
@@ -53,6 +53,10 @@
     return first;
   }
 
+  boolean hasFailed() {
+    return failed;
+  }
+
   boolean isResolved() {
     return members.stream().allMatch(Member::isResolved);
   }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
@@ -174,8 +174,8 @@
     if (unit == null) {
       return;
     }
-    if (stored.phase() == RunRecord.Phase.PLACED) {
-      driver.adopt(unit, stored.members().stream().map(fleet::adopt).toList());
+    if (stored.mayBeActive()) {
+      driver.adopt(unit, stored, stored.members().stream().map(fleet::adopt).toList());
     }
   }
 
@@ -190,7 +190,7 @@
   /** Reactivates an ended job that may still have runs, so that these are stopped. */
   private @Nullable ActiveJob restoreEnded(String id, RunRecord stored) {
     JobEntry entry = context.directory().job(id);
-    if (entry == null || stored.phase() != RunRecord.Phase.PLACED) {
+    if (entry == null || !stored.mayBeActive()) {
       return null;
     }
     ActiveJob job = new ActiveJob(entry, context.nowMillis());
--- a/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
@@ -11,6 +11,7 @@
 import io.dragonflyturn.internal.ledger.KeyedRecord;
 import io.dragonflyturn.internal.ledger.SequencedWriter;
 import io.dragonflyturn.internal.ledger.WriteResult;
+import io.dragonflyturn.internal.workload.RunRecord;
 import io.dragonflyturn.internal.workload.WorkloadCodec;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -67,9 +68,15 @@
     store(unit, () -> run.members().forEach(this::sendStart));
   }
 
-  /** Adopts a run that an earlier leader placed. */
-  void adopt(WorkUnit unit, List<WorkerSession> sessions) {
-    place(unit, unit.lastRunNumber(), sessions, State.UNCERTAIN);
+  /**
+   * Adopts a run that an earlier leader placed. A failure that this leader has counted is not
+   * counted again when the worker lists it once more.
+   */
+  void adopt(WorkUnit unit, RunRecord stored, List<WorkerSession> sessions) {
+    ActiveRun run = place(unit, unit.lastRunNumber(), sessions, State.UNCERTAIN);
+    if (stored.phase() == RunRecord.Phase.FAILING) {
+      run.markFailed();
+    }
   }
 
   private static ActiveRun place(
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkUnit.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkUnit.java
@@ -174,6 +174,7 @@
     if (current == null) {
       return new RunRecord(lastRunNumber, Phase.IDLE, failures, checkpoint, List.of());
     }
-    return new RunRecord(lastRunNumber, Phase.PLACED, failures, checkpoint, current.placements());
+    Phase phase = current.hasFailed() ? Phase.FAILING : Phase.PLACED;
+    return new RunRecord(lastRunNumber, phase, failures, checkpoint, current.placements());
   }
 }
--- a/src/main/java/io/dragonflyturn/internal/workload/RunRecord.java
+++ b/src/main/java/io/dragonflyturn/internal/workload/RunRecord.java
@@ -28,7 +28,17 @@
     /** The latest run may exist on the workers that it was placed on. */
     PLACED,
     /** The unit is complete. */
-    DONE
+    DONE,
+    /**
+     * The latest run has failed, which {@code failures} includes, but members of it may still exist
+     * on their workers. Builds that do not know this phase suspend the job.
+     */
+    FAILING
+  }
+
+  /** Returns whether the latest run may exist on the workers that it was placed on. */
+  public boolean mayBeActive() {
+    return phase == Phase.PLACED || phase == Phase.FAILING;
   }
 
   /**
