--- a/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
@@ -36,6 +36,7 @@
   private final WorkerHealth health;
   private final Listener listener;
   private final OrderQueue orders;
+  private final RunEvents events;
   private CompletableFuture<WriteResult> lastWrite =
       CompletableFuture.completedFuture(WriteResult.STORED);
   private boolean closed;
@@ -52,6 +53,7 @@
     this.health = health;
     this.listener = listener;
     this.orders = new OrderQueue(context);
+    this.events = new RunEvents(context.events(), term);
   }
 
   void close() {
@@ -101,14 +103,7 @@
     if (!run.markAborting()) {
       return;
     }
-    context
-        .events()
-        .event("run-stopped")
-        .with("unit", run.unit().key())
-        .with("run", run.number())
-        .with("cause", cause)
-        .with("term", term)
-        .write();
+    events.runStopped(run, cause);
     context.metrics().runsStopped().inc();
     List.copyOf(run.members()).forEach(this::requestStop);
   }
@@ -146,7 +141,7 @@
     WorkUnit unit = member.unit();
     ActiveRun run = member.run();
     unit.updateCheckpoint(checkpoint);
-    logEnd(member, kind);
+    events.memberEnded(member, kind);
     if (unit.isDone()) {
       endIfResolved(run);
       listener.resourcesChanged();
@@ -202,19 +197,6 @@
     }
   }
 
-  private void logEnd(Member member, EndKind kind) {
-    context
-        .events()
-        .event("run-ended")
-        .with("task", member.task())
-        .with("run", member.run().number())
-        .with("worker", member.session().id())
-        .with("how", kind)
-        .with("percent", member.percent())
-        .with("term", term)
-        .write();
-  }
-
   private void sendStart(Member member) {
     orders.submit(
         member.session().id(), () -> orderStart(member), answer -> startAnswered(member, answer));
@@ -266,12 +248,12 @@
   private void confirmStart(Member member, Taken taken) {
     member.session().recordClock(taken.clockMillis(), context.nowMillis());
     member.confirm(context.nowMillis());
-    logStart(member, "taken");
+    events.startOrdered(member, "taken");
     listener.memberActive(member);
   }
 
   private void startRefused(Member member, OrderAnswer.Reason reason) {
-    logStart(member, reason);
+    events.startOrdered(member, reason);
     context.metrics().startsFailed().inc();
     if (reason == OrderAnswer.Reason.FENCED) {
       listener.fenced();
@@ -301,7 +283,7 @@
   }
 
   private void startUnanswered(Member member) {
-    logStart(member, "unanswered");
+    events.startOrdered(member, "unanswered");
     context.metrics().startsFailed().inc();
     listener.memberActive(member);
     if (member.state() == State.CONFIRMED) {
@@ -323,19 +305,6 @@
     }
   }
 
-  private void logStart(Member member, Object outcome) {
-    context
-        .events()
-        .event("run-start")
-        .with("task", member.task())
-        .with("run", member.run().number())
-        .with("worker", member.session().id())
-        .with("outcome", outcome)
-        .with("try", member.startAttempts())
-        .with("term", term)
-        .write();
-  }
-
   private void requestStop(Member member) {
     if (member.isResolved() || member.isStopRequested()) {
       return;
@@ -389,12 +358,7 @@
       resolve(member, EndKind.LOST, "");
       return true;
     }
-    context
-        .events()
-        .event("stop-refused")
-        .with("task", member.task())
-        .with("reason", reason)
-        .write();
+    events.stopRefused(member, reason);
     return false;
   }
 
