--- a/src/test/java/io/dragonflyturn/internal/intake/JobRequestHandlerTest.java
+++ b/src/test/java/io/dragonflyturn/internal/intake/JobRequestHandlerTest.java
@@ -9,8 +9,8 @@
 import io.dragonflyturn.internal.ledger.AppendId;
 import io.dragonflyturn.internal.ledger.AppendOutcome;
 import io.dragonflyturn.internal.ledger.KeyedRecord;
-import io.dragonflyturn.internal.ledger.RecordStore;
 import io.dragonflyturn.internal.ledger.SequencedWriter;
+import io.dragonflyturn.internal.ledger.SilentRecordStore;
 import io.dragonflyturn.internal.ledger.StoreStatus;
 import io.dragonflyturn.internal.logging.EventLog;
 import io.dragonflyturn.internal.workload.JobState;
@@ -335,7 +335,7 @@
   }
 
   /** Completes every append with the same outcome, or leaves all appends pending. */
-  private static final class FixedOutcomeStore implements RecordStore {
+  private static final class FixedOutcomeStore extends SilentRecordStore {
     private AppendOutcome outcome = new AppendOutcome.Rejected();
     private int appends;
     private boolean neverAnswers;
@@ -346,15 +346,5 @@
       appends++;
       return neverAnswers ? new CompletableFuture<>() : CompletableFuture.completedFuture(outcome);
     }
-
-    @Override
-    public CompletableFuture<Slice> read(String topic, long fromOffset, Duration wait) {
-      return new CompletableFuture<>();
-    }
-
-    @Override
-    public CompletableFuture<Page> readLatest(String topic, String afterKey) {
-      return new CompletableFuture<>();
-    }
   }
 }
--- a/src/test/java/io/dragonflyturn/internal/ledger/SequencedWriterTest.java
+++ b/src/test/java/io/dragonflyturn/internal/ledger/SequencedWriterTest.java
@@ -5,7 +5,6 @@
 import io.dragonflyturn.internal.logging.EventLog;
 import java.io.OutputStream;
 import java.io.PrintStream;
-import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -96,7 +95,7 @@
   }
 
   /** Completes appends with the scripted outcomes, and leaves all further appends unanswered. */
-  private static final class ScriptedStore implements RecordStore {
+  private static final class ScriptedStore extends SilentRecordStore {
     private final Deque<AppendOutcome> outcomes = new ArrayDeque<>();
     private final List<Long> sequences = new ArrayList<>();
 
@@ -118,15 +117,5 @@
       AppendOutcome next = outcomes.poll();
       return next == null ? new CompletableFuture<>() : CompletableFuture.completedFuture(next);
     }
-
-    @Override
-    public CompletableFuture<Slice> read(String topic, long fromOffset, Duration wait) {
-      return new CompletableFuture<>();
-    }
-
-    @Override
-    public CompletableFuture<Page> readLatest(String topic, String afterKey) {
-      return new CompletableFuture<>();
-    }
   }
 }
--- a/src/test/java/io/dragonflyturn/internal/ledger/TopicConsumerTest.java
+++ b/src/test/java/io/dragonflyturn/internal/ledger/TopicConsumerTest.java
@@ -10,7 +10,6 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -118,7 +117,7 @@
   }
 
   /** Reports an empty topic, and leaves every read pending until the test answers it. */
-  private static final class PendingReadsStore implements RecordStore {
+  private static final class PendingReadsStore extends SilentRecordStore {
     private final BlockingQueue<CompletableFuture<Slice>> reads = new LinkedBlockingQueue<>();
     private final List<Duration> waits = new CopyOnWriteArrayList<>();
 
@@ -128,12 +127,6 @@
       return pending;
     }
 
-    @Override
-    public CompletableFuture<AppendOutcome> append(
-        String topic, AppendId appendId, OptionalLong end, List<KeyedRecord> records) {
-      return new CompletableFuture<>();
-    }
-
     @Override
     public CompletableFuture<Slice> read(String topic, long fromOffset, Duration wait) {
       CompletableFuture<Slice> pending = new CompletableFuture<>();
