Let leases end by the bound that a leader and its successor share

Cause: a leader without the store renewed leases of 6 s for 8 s from the first read that failed, up to 1.6 s after the store was lost; its successor allowed for 2.5 s of renewals. In the record of the case, the successor starts the four tasks 10.6 s after the cut, and the first runs end at 14.1 s.

Ruled out: late start orders (no start of run 1 after the cut in the record), a successor that adopts too little (leadership-ready names all four runs).

Change: LeadershipLease. The age of a topic counts from the request, and only where the answer reaches the topic's end.

Why it works: a read that shows no later term was answered before the later term was stored, so it was sent before the successor learned of its election.

--- a/src/main/java/io/dragonflyturn/internal/dispatch/Dispatcher.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/Dispatcher.java
@@ -16,9 +16,6 @@
   /** How long an instance waits between reads, so that it receives records in batches. */
   private static final Duration FOLLOWER_POLL_PAUSE = Duration.ofMillis(200);
 
-  /** How long a leader that cannot reach the store keeps leading and renewing leases. */
-  private static final Duration MAXIMUM_STORE_OUTAGE = Duration.ofSeconds(8);
-
   private final DispatchContext context;
   private final LeaderElection election;
   private final StoreStatus storeStatus;
@@ -86,11 +83,10 @@
 
   private void checkTimeouts() {
     LeaderTerm current = term;
-    if (current != null) {
-      current.tick();
-    }
-    if (storeStatus.unreachableDuration().compareTo(MAXIMUM_STORE_OUTAGE) > 0) {
+    if (current != null && current.hasLeaseExpired()) {
       election.stepDown("store-silent");
+    } else if (current != null) {
+      current.tick();
     }
     if (!stopped) {
       election.tick(storeStatus.isLoaded() && storeStatus.isReachable());
@@ -100,7 +96,12 @@
   @Override
   public void elected(long termNumber, long nextSequence) {
     LeaderTerm next =
-        new LeaderTerm(context, termNumber, nextSequence, () -> election.stepDown("order-fenced"));
+        new LeaderTerm(
+            context,
+            storeStatus,
+            termNumber,
+            nextSequence,
+            () -> election.stepDown("order-fenced"));
     term = next;
     next.start();
   }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
@@ -3,6 +3,7 @@
 import io.dragonflyturn.internal.dispatch.RunLoader.LoadedRuns;
 import io.dragonflyturn.internal.ledger.KeyedRecord;
 import io.dragonflyturn.internal.ledger.SequencedWriter;
+import io.dragonflyturn.internal.ledger.StoreStatus;
 import io.dragonflyturn.internal.ledger.WriteResult;
 import io.dragonflyturn.internal.workload.JobState;
 import io.dragonflyturn.internal.workload.RunRecord;
@@ -26,6 +27,7 @@
   private final DispatchContext context;
   private final long term;
   private final Runnable onFenced;
+  private final LeadershipLease leadershipLease;
   private final SequencedWriter jobsWriter;
   private final SequencedWriter runsWriter;
   private final RunDriver driver;
@@ -40,19 +42,26 @@
   private long lastWriteMillis;
   private final long startedMillis;
 
-  LeaderTerm(DispatchContext context, long term, long nextSequence, Runnable onFenced) {
+  LeaderTerm(
+      DispatchContext context,
+      StoreStatus jobsTopic,
+      long term,
+      long nextSequence,
+      Runnable onFenced) {
     this.context = context;
     this.term = term;
     this.onFenced = onFenced;
     this.startedMillis = context.nowMillis();
     this.lastWriteMillis = startedMillis;
+    leadershipLease =
+        new LeadershipLease(jobsTopic, context.monotonicClock(), context.settings().leaseMillis());
     jobsWriter = writer(LedgerKeys.JOBS_TOPIC, nextSequence);
     long firstSequence = ThreadLocalRandom.current().nextInt(1, Integer.MAX_VALUE / 2);
     runsWriter = writer(LedgerKeys.RUNS_TOPIC, firstSequence);
     WorkerHealth health = new WorkerHealth(context.monotonicClock());
-    driver = new RunDriver(context, term, runsWriter, health, this);
-    poller = new WorkerPoller(context, term, driver, health, this);
-    fleet = new WorkerFleet(context, driver, poller, this::requestRound);
+    driver = new RunDriver(context, term, leadershipLease, runsWriter, health, this);
+    poller = new WorkerPoller(context, term, leadershipLease, driver, health, this);
+    fleet = new WorkerFleet(context, startedMillis, driver, poller, this::requestRound);
     placementLoop = new PlacementLoop(context, term, runsWriter, fleet, jobs, health, driver);
     runLoader = new RunLoader(context, this::runsLoaded);
   }
@@ -114,6 +123,11 @@
     return ready;
   }
 
+  /** Returns whether this instance has had no news from the store for too long to act as leader. */
+  boolean hasLeaseExpired() {
+    return leadershipLease.hasExpired();
+  }
+
   private void runsLoaded(LoadedRuns runs) {
     loadedRuns = runs;
     startIfLoaded();
--- a/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
@@ -32,6 +32,7 @@
 
   private final DispatchContext context;
   private final long term;
+  private final LeadershipLease leadershipLease;
   private final SequencedWriter writer;
   private final WorkerHealth health;
   private final Listener listener;
@@ -44,11 +45,13 @@
   RunDriver(
       DispatchContext context,
       long term,
+      LeadershipLease leadershipLease,
       SequencedWriter writer,
       WorkerHealth health,
       Listener listener) {
     this.context = context;
     this.term = term;
+    this.leadershipLease = leadershipLease;
     this.writer = writer;
     this.health = health;
     this.listener = listener;
@@ -218,11 +221,15 @@
       requestStop(member);
       return null;
     }
+    if (leadershipLease.hasExpired()) {
+      scheduleStart(member);
+      return null;
+    }
     WorkerSession session = member.session();
     member.markSent();
     context.metrics().startsOrdered().inc();
     long leaseUntilMillis =
-        session.grantLease(context.settings().leaseMillis(), context.nowMillis());
+        session.grantLease(leadershipLease.workerLeaseEndMillis(), context.nowMillis());
     StartOrder order =
         new StartOrder(
             member.task(),
@@ -294,13 +301,19 @@
       abort(member.run(), "start-unanswered");
       return;
     }
+    scheduleStart(member);
+  }
+
+  private void scheduleStart(Member member) {
     context
         .eventLoop()
-        .schedule(() -> resendStart(member), START_RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+        .schedule(
+            () -> sendStartIfUnconfirmed(member), START_RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
   }
 
-  private void resendStart(Member member) {
-    if (member.state() == State.SENT && !member.isStopRequested()) {
+  private void sendStartIfUnconfirmed(Member member) {
+    boolean unconfirmed = member.state() == State.PLACED || member.state() == State.SENT;
+    if (unconfirmed && !member.isStopRequested()) {
       sendStart(member);
     }
   }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkerFleet.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerFleet.java
@@ -11,18 +11,21 @@
 
 /** The sessions of all workers that are registered or on which a run may exist. */
 final class WorkerFleet implements RegistrationListener {
-  /** How long a previous leader may continue to renew leases after it has lost the leadership. */
-  private static final long PREVIOUS_LEADER_RENEWAL_MILLIS = 2_500;
-
   private final DispatchContext context;
+  private final long electedMillis;
   private final RunDriver driver;
   private final WorkerPoller poller;
   private final Runnable requestRound;
   private final Map<String, WorkerSession> sessions = new LinkedHashMap<>();
 
   WorkerFleet(
-      DispatchContext context, RunDriver driver, WorkerPoller poller, Runnable requestRound) {
+      DispatchContext context,
+      long electedMillis,
+      RunDriver driver,
+      WorkerPoller poller,
+      Runnable requestRound) {
     this.context = context;
+    this.electedMillis = electedMillis;
     this.driver = driver;
     this.poller = poller;
     this.requestRound = requestRound;
@@ -66,8 +69,7 @@
       session.markUnregistered();
       sessions.put(placement.worker(), session);
     }
-    session.extendLatestLeaseEnd(
-        context.nowMillis() + PREVIOUS_LEADER_RENEWAL_MILLIS + context.settings().leaseMillis());
+    session.extendLatestLeaseEnd(LeadershipLease.endOfEarlierLeasesMillis(electedMillis));
     return session;
   }
 
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkerPoller.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerPoller.java
@@ -28,6 +28,9 @@
   /** How long a worker with members may wait for an end before it answers a poll. */
   private static final long MAXIMUM_POLL_WAIT_MILLIS = 2_000;
 
+  /** The same while leases end early, so that the next poll renews them before they have ended. */
+  private static final long SHORT_LEASE_POLL_WAIT_MILLIS = 500;
+
   /** The delay before the next poll while the leader is still storing ends that it has seen. */
   private static final long UNRECORDED_END_POLL_DELAY_MILLIS = 100;
 
@@ -44,6 +47,7 @@
 
   private final DispatchContext context;
   private final long term;
+  private final LeadershipLease leadershipLease;
   private final RunDriver driver;
   private final WorkerHealth health;
   private final RunDriver.Listener listener;
@@ -52,11 +56,13 @@
   WorkerPoller(
       DispatchContext context,
       long term,
+      LeadershipLease leadershipLease,
       RunDriver driver,
       WorkerHealth health,
       RunDriver.Listener listener) {
     this.context = context;
     this.term = term;
+    this.leadershipLease = leadershipLease;
     this.driver = driver;
     this.health = health;
     this.listener = listener;
@@ -133,11 +139,13 @@
     context.metrics().polls().inc();
     long pollSentMillis = context.nowMillis();
     long acknowledgedEnd = session.lastRecordedEnd();
-    boolean letsLeaseExpire = session.unansweredPolls() >= UNANSWERED_POLLS_BEFORE_LEASE_EXPIRY;
+    boolean letsLeaseExpire =
+        session.unansweredPolls() >= UNANSWERED_POLLS_BEFORE_LEASE_EXPIRY
+            || leadershipLease.hasExpired();
     long leaseUntilMillis =
         letsLeaseExpire
             ? PollOrder.NO_RENEWAL
-            : session.grantLease(context.settings().leaseMillis(), pollSentMillis);
+            : session.grantLease(leadershipLease.workerLeaseEndMillis(), pollSentMillis);
     PollOrder order = new PollOrder(leaseUntilMillis, acknowledgedEnd, waitMillis(session), term);
     context
         .gateway()
@@ -155,11 +163,16 @@
    * Returns how long the worker may wait before it answers: not at all while it is unknown what it
    * runs.
    */
-  private static long waitMillis(WorkerSession session) {
+  private long waitMillis(WorkerSession session) {
     boolean statesKnown =
         session.members().stream().noneMatch(each -> each.state() == State.UNCERTAIN);
     boolean waits = statesKnown && !session.members().isEmpty() && !session.hasUnrecordedEnds();
-    return waits ? MAXIMUM_POLL_WAIT_MILLIS : 0;
+    if (!waits) {
+      return 0;
+    }
+    return leadershipLease.shortensWorkerLeases()
+        ? SHORT_LEASE_POLL_WAIT_MILLIS
+        : MAXIMUM_POLL_WAIT_MILLIS;
   }
 
   private void pollAnswered(
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkerSession.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerSession.java
@@ -97,10 +97,10 @@
     clockReadMillis = nowMillis;
   }
 
-  /** Grants a lease from now on. Returns when it expires, in milliseconds of the worker's clock. */
-  long grantLease(long leaseMillis, long nowMillis) {
-    extendLatestLeaseEnd(nowMillis + leaseMillis);
-    return workerTimeMillis(nowMillis) + leaseMillis;
+  /** Grants a lease. Returns when it expires, in milliseconds of the worker's clock. */
+  long grantLease(long untilMillis, long nowMillis) {
+    extendLatestLeaseEnd(untilMillis);
+    return workerTimeMillis(nowMillis) + untilMillis - nowMillis;
   }
 
   /** Returns the time of the worker's clock, estimated from its last reading. */
--- a/src/main/java/io/dragonflyturn/internal/ledger/CombinedStoreStatus.java
+++ b/src/main/java/io/dragonflyturn/internal/ledger/CombinedStoreStatus.java
@@ -34,4 +34,12 @@
         .min(Comparator.naturalOrder())
         .orElse(Duration.ZERO);
   }
+
+  @Override
+  public Duration age() {
+    return topics.stream()
+        .map(StoreStatus::age)
+        .max(Comparator.naturalOrder())
+        .orElse(Duration.ZERO);
+  }
 }
--- a/src/main/java/io/dragonflyturn/internal/ledger/RecordStore.java
+++ b/src/main/java/io/dragonflyturn/internal/ledger/RecordStore.java
@@ -40,8 +40,9 @@
    * @param trimmed whether the store no longer retains the records at the requested offset; {@code
    *     records} is then empty
    * @param records the records from the requested offset on
+   * @param end the end offset of the topic when the records were read
    */
-  record Slice(boolean trimmed, List<KeyedRecord> records) {}
+  record Slice(boolean trimmed, List<KeyedRecord> records, long end) {}
 
   /**
    * A page of latest records. Each page is read separately, so that several pages together are not
--- a/src/main/java/io/dragonflyturn/internal/ledger/StoreStatus.java
+++ b/src/main/java/io/dragonflyturn/internal/ledger/StoreStatus.java
@@ -12,4 +12,11 @@
 
   /** Returns how long the store has been unreachable; zero while it is reachable. */
   Duration unreachableDuration();
+
+  /**
+   * Returns how old this instance's copy of the topic may be: every record that was stored before
+   * then has been read. Unlike {@link #unreachableDuration()}, it counts from when the last
+   * complete read was sent, so it is not zero while the store is reachable.
+   */
+  Duration age();
 }
--- a/src/main/java/io/dragonflyturn/internal/ledger/TopicConsumer.java
+++ b/src/main/java/io/dragonflyturn/internal/ledger/TopicConsumer.java
@@ -41,6 +41,10 @@
   private long nextOffset;
   private long retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
   private volatile long lastContactMillis;
+
+  /** When the last read that reached the end of the topic was sent. */
+  private volatile long completeAsOfMillis = Long.MIN_VALUE / 2;
+
   private volatile boolean reachable;
   private volatile boolean loaded;
 
@@ -110,6 +114,11 @@
     return isReachable() ? Duration.ZERO : Duration.ofMillis(millisSinceContact());
   }
 
+  @Override
+  public Duration age() {
+    return Duration.ofMillis(monotonicClock.millis() - completeAsOfMillis);
+  }
+
   private void readLatestPage(
       int expectedGeneration,
       String afterKey,
@@ -212,6 +221,9 @@
       notifyListener(change.key(), () -> listener.apply(change));
     }
     nextOffset += slice.records().size();
+    if (nextOffset >= slice.end()) {
+      completeAsOfMillis = sentMillis;
+    }
     notifyListener("advanced", () -> listener.advancedTo(nextOffset));
     long pauseMillis = pollPause.get().toMillis();
     if (pauseMillis == 0 || slice.records().isEmpty()) {
--- a/src/test/java/io/dragonflyturn/internal/dispatch/DispatchFixture.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/DispatchFixture.java
@@ -33,6 +33,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -65,6 +66,7 @@
     final JobDirectory directory = new JobDirectory(loop, events);
     private final DisconnectableStore connection;
     private final FakeWorkerFeed feed = new FakeWorkerFeed();
+    private final Set<String> unreachableWorkers = new HashSet<>();
 
     Instance(String name, InstanceCapacity capacity) {
       this.name = name;
@@ -85,7 +87,7 @@
                   name,
                   capacity,
                   connection,
-                  new DisconnectableGateway(workers, connection),
+                  new DisconnectableGateway(workers, unreachableWorkers, loop),
                   feed,
                   domainsOutOfService::contains,
                   rulesStatus,
@@ -109,11 +111,23 @@
     /** Disconnects the instance from the store and the workers. */
     void disconnect() {
       connection.disconnected = true;
+      unreachableWorkers.addAll(workers.ids());
+    }
+
+    /** Disconnects the instance from the store; it still reaches the workers. */
+    void disconnectFromStore() {
+      connection.disconnected = true;
+    }
+
+    /** Disconnects the instance from some workers, which keep their registrations. */
+    void disconnectFromWorkers(String... ids) {
+      unreachableWorkers.addAll(List.of(ids));
     }
 
     /** Reconnects the instance to the store and the workers. */
     void reconnect() {
       connection.disconnected = false;
+      unreachableWorkers.clear();
     }
 
     @Nullable JobState state(String job) {
@@ -208,6 +222,11 @@
     public Duration unreachableDuration() {
       return unreachable;
     }
+
+    @Override
+    public Duration age() {
+      return unreachable;
+    }
   }
 
   /** Reports the registrations of the in-memory workers. */
@@ -274,22 +293,41 @@
     }
   }
 
-  /** A connection to the workers that is disconnected together with the connection to the store. */
-  private record DisconnectableGateway(WorkerGateway gateway, DisconnectableStore connection)
+  /** A connection to the workers that can be disconnected for each worker. */
+  private record DisconnectableGateway(
+      WorkerGateway gateway, Set<String> unreachableWorkers, ManualLoop loop)
       implements WorkerGateway {
+    private static final long TIMEOUT_MILLIS = 800;
+
     @Override
     public CompletableFuture<OrderAnswer> start(WorkerRegistration worker, StartOrder order) {
-      return connection.disconnected ? new CompletableFuture<>() : gateway.start(worker, order);
+      return isReachable(worker)
+          ? gateway.start(worker, order)
+          : after(TIMEOUT_MILLIS, new OrderAnswer.Unanswered());
     }
 
     @Override
     public CompletableFuture<OrderAnswer> stop(WorkerRegistration worker, StopOrder order) {
-      return connection.disconnected ? new CompletableFuture<>() : gateway.stop(worker, order);
+      return isReachable(worker)
+          ? gateway.stop(worker, order)
+          : after(TIMEOUT_MILLIS, new OrderAnswer.Unanswered());
     }
 
     @Override
     public CompletableFuture<PollAnswer> poll(WorkerRegistration worker, PollOrder order) {
-      return connection.disconnected ? new CompletableFuture<>() : gateway.poll(worker, order);
+      return isReachable(worker)
+          ? gateway.poll(worker, order)
+          : after(order.waitMillis() + TIMEOUT_MILLIS, new PollAnswer.Unanswered());
+    }
+
+    private boolean isReachable(WorkerRegistration worker) {
+      return !unreachableWorkers.contains(worker.id());
+    }
+
+    private <T> CompletableFuture<T> after(long delayMillis, T answer) {
+      CompletableFuture<T> future = new CompletableFuture<>();
+      loop.schedule(() -> future.complete(answer), delayMillis, TimeUnit.MILLISECONDS);
+      return future;
     }
   }
 }
--- a/src/test/java/io/dragonflyturn/internal/dispatch/FakeRecordStore.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/FakeRecordStore.java
@@ -109,7 +109,7 @@
     loop.schedule(
         () -> tryRead(topic, fromOffset, answer), answerDelayMillis, TimeUnit.MILLISECONDS);
     loop.schedule(
-        () -> answer.complete(new Slice(false, List.of())),
+        () -> answer.complete(new Slice(false, List.of(), records(topic).size())),
         maxWait.toMillis(),
         TimeUnit.MILLISECONDS);
     return answer;
@@ -123,7 +123,8 @@
     if (down) {
       answer.completeExceptionally(new IllegalStateException("the store is down"));
     } else if (fromOffset < log.size()) {
-      answer.complete(new Slice(false, List.copyOf(log.subList((int) fromOffset, log.size()))));
+      List<KeyedRecord> records = List.copyOf(log.subList((int) fromOffset, log.size()));
+      answer.complete(new Slice(false, records, log.size()));
     } else {
       waitingReads.add(() -> tryRead(topic, fromOffset, answer));
     }
--- a/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
@@ -60,6 +60,10 @@
     workers.put(id, new Worker(id));
   }
 
+  Set<String> ids() {
+    return Set.copyOf(workers.keySet());
+  }
+
   List<WorkerRegistration> registrations() {
     return workers.keySet().stream().map(this::registration).toList();
   }
--- a/src/test/java/io/dragonflyturn/internal/intake/JobRequestHandlerTest.java
+++ b/src/test/java/io/dragonflyturn/internal/intake/JobRequestHandlerTest.java
@@ -313,6 +313,11 @@
           public Duration unreachableDuration() {
             return unreachableDuration;
           }
+
+          @Override
+          public Duration age() {
+            return unreachableDuration;
+          }
         };
     return new JobRequestHandler(
         () -> configuration,
--- a/src/test/java/io/dragonflyturn/internal/ledger/CombinedStoreStatusTest.java
+++ b/src/test/java/io/dragonflyturn/internal/ledger/CombinedStoreStatusTest.java
@@ -20,6 +20,16 @@
     assertThat(status.unreachableDuration()).isEqualTo(Duration.ofSeconds(2));
   }
 
+  @Test
+  void should_be_as_old_as_the_oldest_topic() {
+    StoreStatus status =
+        new CombinedStoreStatus(
+            new FixedStatus(true, true, Duration.ZERO, Duration.ofMillis(300)),
+            new FixedStatus(true, true, Duration.ZERO, Duration.ofMillis(900)));
+
+    assertThat(status.age()).isEqualTo(Duration.ofMillis(900));
+  }
+
   @Test
   void should_be_loaded_once_all_topics_are() {
     StoreStatus loading = new FixedStatus(false, true, Duration.ZERO);
@@ -28,6 +38,11 @@
     assertThat(new CombinedStoreStatus(CURRENT, CURRENT).isLoaded()).isTrue();
   }
 
-  private record FixedStatus(boolean isLoaded, boolean isReachable, Duration unreachableDuration)
-      implements StoreStatus {}
+  private record FixedStatus(
+      boolean isLoaded, boolean isReachable, Duration unreachableDuration, Duration age)
+      implements StoreStatus {
+    FixedStatus(boolean isLoaded, boolean isReachable, Duration unreachableDuration) {
+      this(isLoaded, isReachable, unreachableDuration, unreachableDuration);
+    }
+  }
 }
--- a/src/test/java/io/dragonflyturn/internal/ledger/TopicConsumerTest.java
+++ b/src/test/java/io/dragonflyturn/internal/ledger/TopicConsumerTest.java
@@ -93,6 +93,37 @@
     assertThat(store.waits).startsWith(Duration.ofSeconds(1), Duration.ZERO);
   }
 
+  @Test
+  void should_be_as_old_as_its_last_answered_read() throws Exception {
+    answerNextRead();
+    nowMillis.addAndGet(700);
+
+    assertThat(consumer.age()).isEqualTo(Duration.ofMillis(700));
+  }
+
+  @Test
+  void should_not_become_newer_when_a_read_fails() throws Exception {
+    answerNextRead();
+    nowMillis.addAndGet(1_500);
+
+    failNextRead();
+
+    assertThat(consumer.unreachableDuration()).isZero();
+    assertThat(consumer.age()).isEqualTo(Duration.ofMillis(1_500));
+  }
+
+  @Test
+  void should_not_become_newer_with_an_answer_that_ends_before_the_topic() throws Exception {
+    answerNextRead();
+    nowMillis.addAndGet(900);
+    answerNextRead();
+    nowMillis.addAndGet(300);
+
+    answerNextReadUpTo(5, "first", "second");
+
+    assertThat(consumer.age()).isEqualTo(Duration.ofMillis(1_200));
+  }
+
   @Test
   void should_read_on_after_a_record_that_the_listener_fails_on() throws Exception {
     answerNextRead("first", RecordingListener.POISON, "second");
@@ -107,11 +138,24 @@
    * for it by then.
    */
   private void answerNextRead(String... keys) throws Exception {
+    answerNextReadUpTo(keys.length, keys);
+  }
+
+  /** Answers the next pending read of a topic that ends at the given offset. */
+  private void answerNextReadUpTo(long end, String... keys) throws Exception {
     CompletableFuture<RecordStore.Slice> pending = store.takeNextRead();
     List<KeyedRecord> records =
         Stream.of(keys).map(key -> new KeyedRecord(key, new byte[] {1})).toList();
     eventLoop
-        .submit(() -> pending.complete(new RecordStore.Slice(false, records)))
+        .submit(() -> pending.complete(new RecordStore.Slice(false, records, end)))
+        .get(5, TimeUnit.SECONDS);
+    eventLoop.submit(() -> {}).get(5, TimeUnit.SECONDS);
+  }
+
+  private void failNextRead() throws Exception {
+    CompletableFuture<RecordStore.Slice> pending = store.takeNextRead();
+    eventLoop
+        .submit(() -> pending.completeExceptionally(new IllegalStateException("refused")))
         .get(5, TimeUnit.SECONDS);
     eventLoop.submit(() -> {}).get(5, TimeUnit.SECONDS);
   }
