--- a/src/main/java/io/dragonflyturn/internal/dispatch/DispatchContext.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/DispatchContext.java
@@ -48,8 +48,7 @@
 
   /** Returns whether the rules are known and recent enough to place runs. */
   boolean areRulesCurrent() {
-    return rulesStatus.isLoaded()
-        && rulesStatus.unreachableDuration().compareTo(MAXIMUM_RULES_AGE) <= 0;
+    return rulesStatus.isLoaded() && rulesStatus.age().compareTo(MAXIMUM_RULES_AGE) <= 0;
   }
 
   long nowMillis() {
--- a/src/test/java/io/dragonflyturn/internal/dispatch/DispatchFixture.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/DispatchFixture.java
@@ -207,6 +207,7 @@
   static final class RulesStatus implements StoreStatus {
     boolean loaded = true;
     Duration unreachable = Duration.ZERO;
+    Duration age = Duration.ZERO;
 
     @Override
     public boolean isLoaded() {
@@ -225,7 +226,7 @@
 
     @Override
     public Duration age() {
-      return unreachable;
+      return age;
     }
   }
 
--- a/src/test/java/io/dragonflyturn/internal/dispatch/LeadershipLeaseTest.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/LeadershipLeaseTest.java
@@ -18,7 +18,7 @@
 
   @Test
   void should_grant_full_leases_while_the_jobs_topic_is_read() {
-    jobsTopic.unreachable = Duration.ofSeconds(1);
+    jobsTopic.age = Duration.ofSeconds(1);
 
     assertThat(lease.workerLeaseEndMillis()).isEqualTo(NOW_MILLIS + LEASE_MILLIS);
     assertThat(lease.shortensWorkerLeases()).isFalse();
@@ -27,7 +27,7 @@
   @Test
   void should_grant_no_lease_that_a_successor_elected_now_does_not_expect() {
     for (long age = 0; age <= 20_000; age += 500) {
-      jobsTopic.unreachable = Duration.ofMillis(age);
+      jobsTopic.age = Duration.ofMillis(age);
 
       assertThat(lease.workerLeaseEndMillis())
           .isLessThanOrEqualTo(LeadershipLease.endOfEarlierLeasesMillis(NOW_MILLIS - age));
@@ -36,7 +36,7 @@
 
   @Test
   void should_expire_when_a_lease_would_end_at_once() {
-    jobsTopic.unreachable = Duration.ofSeconds(20);
+    jobsTopic.age = Duration.ofSeconds(20);
 
     assertThat(lease.hasExpired()).isTrue();
     assertThat(lease.workerLeaseEndMillis()).isLessThan(NOW_MILLIS);
--- a/src/test/java/io/dragonflyturn/internal/dispatch/OperatorRulesTest.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/OperatorRulesTest.java
@@ -34,16 +34,32 @@
     fixture.instance("only");
     fixture.advance(2_500);
     fixture.rulesStatus.unreachable = Duration.ofSeconds(4);
+    fixture.rulesStatus.age = Duration.ofSeconds(4);
     fixture.submit("a", 0, DispatchFixture.tasks(1));
     fixture.advance(2_000);
     assertThat(fixture.workers.runningTasks()).isEmpty();
 
     fixture.rulesStatus.unreachable = Duration.ZERO;
+    fixture.rulesStatus.age = Duration.ZERO;
     fixture.advance(2_000);
 
     assertThat(fixture.workers.runningTasks()).containsExactly("a.0.0.0");
   }
 
+  /** The age of the rules counted only from the first read that failed. */
+  @Test
+  void should_start_nothing_when_a_read_has_just_failed_and_the_rules_are_out_of_date() {
+    fixture.instance("only");
+    fixture.advance(2_500);
+    fixture.rulesStatus.unreachable = Duration.ofSeconds(2);
+    fixture.rulesStatus.age = Duration.ofMillis(3_600);
+    fixture.submit("a", 0, DispatchFixture.tasks(1));
+
+    fixture.advance(2_000);
+
+    assertThat(fixture.workers.runningTasks()).isEmpty();
+  }
+
   @Test
   void should_not_repeat_a_start_order_in_a_failure_domain_that_left_meanwhile() {
     fixture.instance("only");
