Grant leases by what a worker's clock shows at least

The end of a lease is a time of the worker's clock, estimated as if it had run at the leader's rate since its last reading. A clock that is 2% slow and was read a minute ago lets a lease end 1.2 s late, and 0.5 s were allowed for: a worker that is cut off right after a start could run on beside a second run.

Change: the estimate is a lower bound, at the minimum rate, and never falls; the readings in the workers' entries keep it close.

Evidence: WorkerSessionTest, the first test failed on and passes now.

--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkerSession.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerSession.java
@@ -45,7 +45,8 @@
   WorkerSession(WorkerRegistration registration, long nowMillis) {
     this.registration = registration;
     this.incarnation = registration.incarnation();
-    recordClock(registration.clockMillis(), nowMillis);
+    this.workerClockMillis = registration.clockMillis();
+    this.clockReadMillis = nowMillis;
   }
 
   String id() {
@@ -76,6 +77,9 @@
       beginIncarnation(next.incarnation(), next.clockMillis(), nowMillis);
       return true;
     }
+    if (next.incarnation() == incarnation) {
+      recordClock(next.clockMillis(), nowMillis);
+    }
     return false;
   }
 
@@ -88,13 +92,19 @@
     lastSeenEnd = 0;
     lastRecordedEnd = 0;
     lastAcknowledgedEnd = 0;
-    recordClock(clockMillis, nowMillis);
+    workerClockMillis = clockMillis;
+    clockReadMillis = nowMillis;
   }
 
-  /** Records a reading of the worker's clock that was taken at {@code nowMillis} or earlier. */
+  /**
+   * Records a reading of the worker's clock that was taken at {@code nowMillis} or earlier. A
+   * reading that tells less than the earlier ones, because it has been delayed, is ignored.
+   */
   void recordClock(long clockMillis, long nowMillis) {
-    workerClockMillis = clockMillis;
-    clockReadMillis = nowMillis;
+    if (clockMillis >= workerTimeMillis(nowMillis)) {
+      workerClockMillis = clockMillis;
+      clockReadMillis = nowMillis;
+    }
   }
 
   /** Grants a lease. Returns when it expires, in milliseconds of the worker's clock. */
@@ -103,9 +113,12 @@
     return workerTimeMillis(nowMillis) + untilMillis - nowMillis;
   }
 
-  /** Returns the time of the worker's clock, estimated from its last reading. */
+  /**
+   * Returns the time that the worker's clock shows at least, even if it has run at the minimum rate
+   * since its last reading.
+   */
   long workerTimeMillis(long nowMillis) {
-    return workerClockMillis + nowMillis - clockReadMillis;
+    return workerClockMillis + (long) ((nowMillis - clockReadMillis) * MINIMUM_CLOCK_RATE);
   }
 
   /** Records that the worker may hold a lease until the given time. */
--- /dev/null
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/WorkerSessionTest.java
@@ -0,0 +1,68 @@
+package io.dragonflyturn.internal.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.dragonflyturn.internal.fleet.WorkerRegistration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Tests the leases of a worker whose clock runs at another rate than the leader's. */
+class WorkerSessionTest {
+  private static final long START_MILLIS = 10_000;
+  private static final long LEASE_MILLIS = 6_000;
+  private static final double SLOW_RATE = 0.98;
+
+  private final WorkerSession session = new WorkerSession(registration(0), START_MILLIS);
+
+  /** A task started on a worker that had been idle for a minute outlived its lease by a second. */
+  @Test
+  void should_not_grant_a_lease_that_outlasts_its_expiry_on_a_slow_clock_that_was_read_long_ago() {
+    long now = START_MILLIS + 60_000;
+
+    long leaseEnd = session.grantLease(now + LEASE_MILLIS, now);
+
+    long realEnd = START_MILLIS + (long) (leaseEnd / SLOW_RATE);
+    assertThat(session.haveLeasesExpired(realEnd, LEASE_MILLIS)).isFalse();
+  }
+
+  @Test
+  void should_grant_almost_the_whole_lease_on_a_clock_that_the_worker_has_just_reported() {
+    long now = START_MILLIS + 60_000;
+    session.update(registration(60_000), now);
+
+    assertThat(session.grantLease(now + LEASE_MILLIS, now)).isEqualTo(60_000 + LEASE_MILLIS);
+  }
+
+  @Test
+  void should_ignore_a_clock_reading_that_was_delayed() {
+    long now = START_MILLIS + 60_000;
+    session.recordClock(60_000, now);
+
+    session.update(registration(20_000), now);
+
+    assertThat(session.workerTimeMillis(now)).isEqualTo(60_000);
+  }
+
+  @Test
+  void should_start_from_the_clock_of_a_new_incarnation() {
+    long now = START_MILLIS + 60_000;
+
+    session.beginIncarnation(2, 300, now);
+
+    assertThat(session.workerTimeMillis(now)).isEqualTo(300);
+  }
+
+  private static WorkerRegistration registration(long clockMillis) {
+    return new WorkerRegistration(
+        "w1",
+        1,
+        "service",
+        "w1:1",
+        "north",
+        List.of("r1"),
+        FakeWorkers.CAPACITY,
+        false,
+        0,
+        clockMillis);
+  }
+}
