Refuse a call only if no peer that was sent it may carry it out

Cause: a write that stays pending is also sent to a peer. When the local write was refused, the caller got the refusal while the peer's outcome was open. In the record of the case, the peer's append is stored 0.22 s before the 503, and its answer is lost.

Ruled out: the writer refusing what it had sent (SequencedWriter refuses unsent records only, and the store's record shows one append of the job, by the peer).

Change: ForwardedWrites remembers by record what peers were asked to write; each refusal of a submission or a cancellation goes through it, waits for open calls, and becomes an acceptance or an unknown outcome where that is the truth. It is shared by all attempts at an instance. On the related path of calls that go to peers only, a refusal of one peer is no longer passed on where another may have applied the call. The log says what the caller was answered, not what became of the local write.

--- a/src/main/java/io/dragonflyturn/internal/intake/CallForwarder.java
+++ b/src/main/java/io/dragonflyturn/internal/intake/CallForwarder.java
@@ -145,7 +145,7 @@
       log(peer, answer == null ? String.valueOf(failure) : answer.toString());
       if (answer != null && !(answer.answer() instanceof CallerAnswer.Unavailable)) {
         lastFailureMillis.remove(peer);
-        result.complete(Optional.of(answer));
+        result.complete(Optional.of(certain(answer)));
         return;
       }
       lastFailureMillis.put(peer, monotonicClock.millis());
@@ -153,6 +153,21 @@
       callNextPeer();
     }
 
+    /**
+     * Returns the answer of a peer. If it is a refusal, and another peer may have applied the call,
+     * the outcome is unknown.
+     */
+    private PeerAnswer certain(PeerAnswer answer) {
+      boolean refuses = modifiesJob() && !(answer.answer() instanceof CallerAnswer.Accepted);
+      return refuses && mayHaveBeenApplied
+          ? new PeerAnswer(new CallerAnswer.OutcomeUnknown(), answer.configuration())
+          : answer;
+    }
+
+    private boolean modifiesJob() {
+      return ForwardedWrites.recordKey(call) != null;
+    }
+
     private void log(String peer, String outcome) {
       events
           .event("call-relayed")
@@ -164,9 +179,8 @@
 
     private void completeUnanswered() {
       pausedUntilMillis = monotonicClock.millis() + FORWARDING_PAUSE_MILLIS;
-      boolean modifiesJob = call instanceof CallerCall.Submit || call instanceof CallerCall.Cancel;
       result.complete(
-          mayHaveBeenApplied && modifiesJob
+          mayHaveBeenApplied && modifiesJob()
               ? Optional.of(
                   new PeerAnswer(new CallerAnswer.OutcomeUnknown(), minConfigurationVersion))
               : Optional.empty());
--- a/src/main/java/io/dragonflyturn/internal/intake/JobRequestHandler.java
+++ b/src/main/java/io/dragonflyturn/internal/intake/JobRequestHandler.java
@@ -22,6 +22,7 @@
 import java.time.InstantSource;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -54,6 +55,7 @@
   private final SequencedWriter writer;
   private final StoreStatus storeStatus;
   private final CallForwarder callForwarder;
+  private final ForwardedWrites forwardedWrites;
   private final ScheduledExecutorService eventLoop;
   private final InstantSource wallClock;
   private final EventLog events;
@@ -75,6 +77,7 @@
    * @param storeStatus how current {@code jobDirectory} is
    * @param callForwarder forwards calls to peers
    * @param eventLoop the event loop on which all methods are called
+   * @param monotonicClock a clock that never goes back
    * @param wallClock the time of day, for submission times
    */
   public JobRequestHandler(
@@ -84,6 +87,7 @@
       StoreStatus storeStatus,
       CallForwarder callForwarder,
       ScheduledExecutorService eventLoop,
+      InstantSource monotonicClock,
       InstantSource wallClock,
       EventLog events) {
     this.configuration = configuration;
@@ -91,6 +95,7 @@
     this.writer = writer;
     this.storeStatus = storeStatus;
     this.callForwarder = callForwarder;
+    this.forwardedWrites = new ForwardedWrites(monotonicClock);
     this.eventLoop = eventLoop;
     this.wallClock = wallClock;
     this.events = events;
@@ -101,13 +106,19 @@
     if (storeStatus.isReachable() && configurationVersion() >= newestSeenConfigurationVersion) {
       return withHedge(call, answerLocally(call));
     }
-    return callForwarder
-        .forward(call, minConfigurationVersion())
+    return forward(call)
         .thenCompose(
             peerAnswer ->
                 peerAnswer.map(this::acceptPeerAnswer).orElseGet(() -> answerWithoutPeers(call)));
   }
 
+  private CompletableFuture<Optional<PeerAnswer>> forward(CallerCall call) {
+    CompletableFuture<Optional<PeerAnswer>> outcome =
+        callForwarder.forward(call, minConfigurationVersion());
+    forwardedWrites.add(call, outcome);
+    return outcome;
+  }
+
   /**
    * Answers a call that no peer has answered, unless callers have already seen a newer
    * configuration than the one that this instance has read.
@@ -115,7 +126,20 @@
   private CompletableFuture<CallerAnswer> answerWithoutPeers(CallerCall call) {
     return configurationVersion() >= newestSeenConfigurationVersion
         ? answerLocally(call)
-        : completed(new Unavailable(RETRY_AFTER_SECONDS));
+        : refuse(ForwardedWrites.recordKey(call));
+  }
+
+  /**
+   * Refuses a call that this instance has not carried out, unless it forwarded the call and a peer
+   * may have carried it out.
+   *
+   * @param recordKey the key of the record that the call writes; null if it only reads
+   */
+  private CompletableFuture<CallerAnswer> refuse(@Nullable String recordKey) {
+    Unavailable refusal = new Unavailable(RETRY_AFTER_SECONDS);
+    return recordKey == null
+        ? completed(refusal)
+        : forwardedWrites.answerUnlessWritten(recordKey, refusal);
   }
 
   private CompletableFuture<CallerAnswer> acceptPeerAnswer(PeerAnswer answer) {
@@ -182,8 +206,7 @@
     if (answer.isDone()) {
       return;
     }
-    callForwarder
-        .forward(call, minConfigurationVersion())
+    forward(call)
         .thenAccept(
             peerAnswer ->
                 peerAnswer
@@ -217,6 +240,7 @@
   private CompletableFuture<CallerAnswer> storeSubmission(
       AuthorizedCall call, CallerCall.Submit submit) {
     String id = submit.id();
+    String recordKey = LedgerKeys.submission(id);
     JobContent content = submit.content();
     if (jobDirectory.job(id) != null) {
       log("job-joined", id, call.configuration, "known");
@@ -226,7 +250,7 @@
     if (pendingWrite == null) {
       if (storeStatus.unreachableDuration().compareTo(MAX_STORE_OUTAGE) > 0) {
         log("job-refused", id, call.configuration, "store-silent");
-        return completed(new Unavailable(RETRY_AFTER_SECONDS));
+        return refuse(recordKey);
       }
       SubmittedJob submission =
           new SubmittedJob(
@@ -238,13 +262,11 @@
               content.steps(),
               content.recurrence());
       pendingWrite =
-          writer.write(
-              new KeyedRecord(
-                  LedgerKeys.submission(id), WorkloadCodec.encodeSubmission(submission)));
+          writer.write(new KeyedRecord(recordKey, WorkloadCodec.encodeSubmission(submission)));
       pendingSubmissions.put(id, pendingWrite);
       pendingWrite.thenAccept(result -> pendingSubmissions.remove(id));
     }
-    return answerWhenWritten("job", id, call, pendingWrite);
+    return answerWhenWritten("job", id, recordKey, call, pendingWrite);
   }
 
   private CompletableFuture<CallerAnswer> storeCancellation(AuthorizedCall call, String id) {
@@ -255,12 +277,13 @@
     if (entry.state().isTerminal()) {
       return completed(new Accepted());
     }
+    String recordKey = LedgerKeys.cancellation(id);
     if (storeStatus.unreachableDuration().compareTo(MAX_STORE_OUTAGE) > 0) {
-      return completed(new Unavailable(RETRY_AFTER_SECONDS));
+      return refuse(recordKey);
     }
     CompletableFuture<WriteResult> pendingWrite =
-        writer.write(new KeyedRecord(LedgerKeys.cancellation(id), CANCELLED));
-    return answerWhenWritten("cancellation", id, call, pendingWrite);
+        writer.write(new KeyedRecord(recordKey, CANCELLED));
+    return answerWhenWritten("cancellation", id, recordKey, call, pendingWrite);
   }
 
   private CallerAnswer readState(String id) {
@@ -276,38 +299,45 @@
     return storeStatus.isReachable() ? new NoSuchJob() : new Unavailable(RETRY_AFTER_SECONDS);
   }
 
+  /** Answers once the outcome of a write is known, or as unknown before the caller gives up. */
   private CompletableFuture<CallerAnswer> answerWhenWritten(
       String operation,
       String id,
+      String recordKey,
       AuthorizedCall call,
       CompletableFuture<WriteResult> pendingWrite) {
     CompletableFuture<CallerAnswer> answer = new CompletableFuture<>();
-    pendingWrite.thenAccept(result -> answer.complete(toAnswer(operation, id, call, result)));
+    answer.thenAccept(
+        given ->
+            log(
+                operation + outcomeName(given),
+                id,
+                call.configuration,
+                call.queue.policy().name()));
+    pendingWrite.thenCompose(result -> toAnswer(result, recordKey)).thenAccept(answer::complete);
     if (!answer.isDone()) {
       long timeoutMillis = (long) (call.request.deadlineMillis() * DEADLINE_FRACTION);
       eventLoop.schedule(
-          () -> completeAsUnknown(operation, id, call, answer),
-          timeoutMillis,
-          TimeUnit.MILLISECONDS);
+          () -> answer.complete(new OutcomeUnknown()), timeoutMillis, TimeUnit.MILLISECONDS);
     }
     return answer;
   }
 
-  private CallerAnswer toAnswer(
-      String operation, String id, AuthorizedCall call, WriteResult result) {
-    log(operation + "-" + result, id, call.configuration, call.queue.policy().name());
+  private CompletableFuture<CallerAnswer> toAnswer(WriteResult result, String recordKey) {
     return switch (result) {
-      case STORED -> new Accepted();
-      case REFUSED -> new Unavailable(RETRY_AFTER_SECONDS);
-      case FENCED -> new OutcomeUnknown();
+      case STORED -> completed(new Accepted());
+      case REFUSED -> refuse(recordKey);
+      case FENCED -> completed(new OutcomeUnknown());
     };
   }
 
-  private void completeAsUnknown(
-      String operation, String id, AuthorizedCall call, CompletableFuture<CallerAnswer> answer) {
-    if (answer.complete(new OutcomeUnknown())) {
-      log(operation + "-outcome-unknown", id, call.configuration, call.queue.policy().name());
-    }
+  /** Returns the end of the event name for the answer that a caller was given. */
+  private static String outcomeName(CallerAnswer answer) {
+    return switch (answer) {
+      case Accepted accepted -> "-STORED";
+      case Unavailable unavailable -> "-REFUSED";
+      default -> "-outcome-unknown";
+    };
   }
 
   private void log(String event, String id, CallerConfiguration version, String detail) {
--- a/src/test/java/io/dragonflyturn/internal/intake/JobRequestHandlerTest.java
+++ b/src/test/java/io/dragonflyturn/internal/intake/JobRequestHandlerTest.java
@@ -48,6 +48,9 @@
           Recurrence.NONE);
   private static final String ID = "00000000000000aa";
 
+  /** How long a write is pending that is also sent to a peer. */
+  private static final long HEDGED_MILLIS = 900;
+
   private final ScheduledThreadPoolExecutor eventLoop = new ScheduledThreadPoolExecutor(1);
   private final EventLog events =
       new EventLog(
@@ -190,6 +193,61 @@
     assertThat(calledPeers).containsExactly("one:1");
   }
 
+  /** A job was refused with 503 while a peer that had been sent it stored it, and then ran. */
+  @Test
+  void should_not_refuse_a_job_that_a_peer_may_still_store() throws Exception {
+    store.answersPendingMillis = HEDGED_MILLIS;
+    addPeer("slow", new CompletableFuture<>());
+
+    assertThat(submitWithDeadline(2_000)).isEqualTo(new CallerAnswer.OutcomeUnknown());
+    assertThat(calledPeers).containsExactly("slow:1");
+  }
+
+  @Test
+  void should_accept_a_refused_job_that_a_peer_stores_later() throws Exception {
+    store.answersPendingMillis = HEDGED_MILLIS;
+    CompletableFuture<CallerAnswer> peerAnswer = new CompletableFuture<>();
+    addPeer("slow", peerAnswer);
+    eventLoop.schedule(
+        () -> peerAnswer.complete(new CallerAnswer.Accepted()),
+        HEDGED_MILLIS + 200,
+        TimeUnit.MILLISECONDS);
+
+    assertThat(submitWithDeadline(4_000)).isEqualTo(new CallerAnswer.Accepted());
+  }
+
+  @Test
+  void should_refuse_a_job_that_neither_the_store_nor_a_peer_took() throws Exception {
+    store.answersPendingMillis = HEDGED_MILLIS;
+    addPeer("refusing", CompletableFuture.completedFuture(new CallerAnswer.Unavailable(1)));
+
+    assertThat(submitWithDeadline(4_000)).isInstanceOf(CallerAnswer.Unavailable.class);
+  }
+
+  @Test
+  void should_not_refuse_a_later_attempt_while_a_peer_may_store_the_job() throws Exception {
+    unreachableDuration = Duration.ofSeconds(2);
+    addPeer("silent", CompletableFuture.failedFuture(peerUnanswered()));
+    JobRequestHandler handler = handler();
+    answerOf(unused -> handler.answer(new CallerCall.Submit(request("key"), ID, CONTENT)));
+    peers.remove("silent");
+
+    CallerAnswer second =
+        answerOf(unused -> handler.answer(new CallerCall.Submit(request("key"), ID, CONTENT)));
+
+    assertThat(second).isEqualTo(new CallerAnswer.OutcomeUnknown());
+  }
+
+  @Test
+  void should_not_pass_on_the_refusal_of_one_peer_when_another_may_have_stored_the_job()
+      throws Exception {
+    unreachableDuration = Duration.ofSeconds(2);
+    addPeer("silent", CompletableFuture.failedFuture(peerUnanswered()));
+    addPeer("refusing", CompletableFuture.completedFuture(new CallerAnswer.UnknownKey()));
+
+    assertThat(submit("key")).isEqualTo(new CallerAnswer.OutcomeUnknown());
+  }
+
   @Test
   void should_not_answer_a_peer_while_the_store_is_unreachable() throws Exception {
     unreachableDuration = Duration.ofMillis(1);
@@ -277,6 +335,11 @@
                     ID, "customer", POLICY, 0, "content", CONTENT.steps(), Recurrence.NONE))));
   }
 
+  private CallerAnswer submitWithDeadline(long deadlineMillis) throws Exception {
+    CallerRequest request = new CallerRequest("host", "/jobs/" + ID, "key", deadlineMillis);
+    return answerOf(handler -> handler.answer(new CallerCall.Submit(request, ID, CONTENT)));
+  }
+
   private CallerAnswer submit(String key) throws Exception {
     return answerOf(handler -> handler.answer(new CallerCall.Submit(request(key), ID, CONTENT)));
   }
@@ -332,6 +395,7 @@
             events),
         eventLoop,
         InstantSource.system(),
+        InstantSource.system(),
         events);
   }
 
@@ -340,16 +404,22 @@
   }
 
   /** Completes every append with the same outcome, or leaves all appends pending. */
-  private static final class FixedOutcomeStore extends SilentRecordStore {
+  private final class FixedOutcomeStore extends SilentRecordStore {
     private AppendOutcome outcome = new AppendOutcome.Rejected();
     private int appends;
     private boolean neverAnswers;
+    private long answersPendingMillis;
 
     @Override
     public CompletableFuture<AppendOutcome> append(
         String topic, AppendId appendId, OptionalLong end, List<KeyedRecord> records) {
       appends++;
-      return neverAnswers ? new CompletableFuture<>() : CompletableFuture.completedFuture(outcome);
+      CompletableFuture<AppendOutcome> answer = new CompletableFuture<>();
+      if (!neverAnswers) {
+        eventLoop.schedule(
+            () -> answer.complete(outcome), answersPendingMillis, TimeUnit.MILLISECONDS);
+      }
+      return answer;
     }
   }
 }
