Poll a silent worker until it answers, so that it gets work again

Cause: the planner leaves out workers whose last poll was not answered, and a worker was polled only while it had members or ends to acknowledge. Once its members were given up, nothing polled it again.

Ruled out: entries that lapsed (the store kept them), exclusion for failures (ends after 10 s), a planner that found no room (the workers were idle).

Change: a registered worker whose last poll was not answered needs a poll. That also serves workers that start again under their id, for which the same count stayed: while only acknowledgements are owed, and after a poll that the new incarnation refused. Such polls are 0.8 s apart, and silence is logged.

--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkerPoller.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerPoller.java
@@ -22,7 +22,7 @@
  * that the worker lists.
  *
  * <p>One long poll is open for each worker with members. A worker without members is polled only to
- * acknowledge ended runs.
+ * acknowledge ended runs, and after an unanswered poll until it answers again.
  */
 final class WorkerPoller {
   /** How long a worker with members may wait for an end before it answers a poll. */
@@ -37,8 +37,8 @@
   /** The delay before the next poll after a worker has refused a poll or has not answered it. */
   private static final long UNANSWERED_POLL_DELAY_MILLIS = 250;
 
-  /** The delay before a worker without members is polled only to acknowledge ends. */
-  private static final long ACKNOWLEDGEMENT_DELAY_MILLIS = 800;
+  /** The delay before a worker without members is polled, which is not urgent. */
+  private static final long MEMBERLESS_POLL_DELAY_MILLIS = 800;
 
   /**
    * The number of unanswered polls after which polls no longer renew the lease, so that it expires.
@@ -78,7 +78,7 @@
       return;
     }
     if (session.members().isEmpty()) {
-      schedulePoll(session, ACKNOWLEDGEMENT_DELAY_MILLIS);
+      schedulePoll(session, MEMBERLESS_POLL_DELAY_MILLIS);
       return;
     }
     poll(session);
@@ -183,29 +183,66 @@
     }
     switch (answer) {
       case Listing listing -> {
-        session.resetUnansweredPolls();
+        answeredAgain(session);
         session.markEndAcknowledged(acknowledgedEnd);
         reconcile(session, pollSentMillis, listing);
         continuePolling(session);
       }
       case Refused refused -> pollRefused(session, refused.reason());
       case Unanswered unanswered -> {
-        session.countUnansweredPoll();
-        schedulePoll(session, UNANSWERED_POLL_DELAY_MILLIS);
+        countUnansweredPoll(session, "no-answer");
+        schedulePollAfterFailure(session);
       }
     }
   }
 
+  /** Counts a poll without an answer, after which the worker gets no work until it answers. */
+  private void countUnansweredPoll(WorkerSession session, String cause) {
+    session.countUnansweredPoll();
+    if (session.unansweredPolls() == 1) {
+      context
+          .events()
+          .event("worker-silent")
+          .with("worker", session.id())
+          .with("cause", cause)
+          .with("members", session.members().size())
+          .with("term", term)
+          .write();
+    }
+  }
+
+  private void schedulePollAfterFailure(WorkerSession session) {
+    schedulePoll(
+        session,
+        session.members().isEmpty() ? MEMBERLESS_POLL_DELAY_MILLIS : UNANSWERED_POLL_DELAY_MILLIS);
+  }
+
+  /** Makes a worker available for placement again if its last poll was not answered. */
+  private void answeredAgain(WorkerSession session) {
+    if (session.unansweredPolls() == 0) {
+      return;
+    }
+    context
+        .events()
+        .event("worker-answers")
+        .with("worker", session.id())
+        .with("unansweredPolls", session.unansweredPolls())
+        .with("term", term)
+        .write();
+    session.resetUnansweredPolls();
+    listener.resourcesChanged();
+  }
+
   private void pollRefused(WorkerSession session, Reason reason) {
     if (reason == Reason.FENCED) {
       listener.fenced();
       return;
     }
-    session.countUnansweredPoll();
+    countUnansweredPoll(session, reason.toString());
     if (reason == Reason.OTHER_LIFE) {
       List.copyOf(session.members()).forEach(each -> driver.resolve(each, EndKind.LOST, ""));
     }
-    schedulePoll(session, UNANSWERED_POLL_DELAY_MILLIS);
+    schedulePollAfterFailure(session);
   }
 
   private void continuePolling(WorkerSession session) {
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkerSession.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerSession.java
@@ -181,8 +181,12 @@
     return lastSeenEnd > lastRecordedEnd;
   }
 
+  /**
+   * Returns whether the worker has to be polled. A registered worker that left its last poll
+   * unanswered gets no work, so it is polled until it answers.
+   */
   boolean needsPoll() {
-    return !members.isEmpty() || hasUnacknowledgedEnds();
+    return !members.isEmpty() || hasUnacknowledgedEnds() || (registered && unansweredPolls > 0);
   }
 
   boolean isPolling() {
--- a/src/test/java/io/dragonflyturn/internal/dispatch/DispatchFixture.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/DispatchFixture.java
@@ -181,6 +181,11 @@
         each -> each.feed.report(workers.drainingRegistration(worker, remainingMillis)));
   }
 
+  /** Reports the current registrations of all workers to all instances. */
+  void reportWorkers() {
+    instances.forEach(each -> workers.registrations().forEach(each.feed::report));
+  }
+
   void cancel(String id) {
     submissions.write(new KeyedRecord(LedgerKeys.cancellation(id), new byte[] {1}));
   }
--- a/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
@@ -57,7 +57,7 @@
   }
 
   void add(String id) {
-    workers.put(id, new Worker(id));
+    workers.put(id, new Worker(id, 1));
   }
 
   Set<String> ids() {
@@ -70,7 +70,16 @@
 
   WorkerRegistration registration(String id) {
     return new WorkerRegistration(
-        id, 1, "service", id + ":1", "north", List.of("a", "r1"), CAPACITY, false, 0, clock());
+        id,
+        worker(id).incarnation,
+        "service",
+        id + ":1",
+        "north",
+        List.of("a", "r1"),
+        CAPACITY,
+        false,
+        0,
+        clock());
   }
 
   WorkerRegistration drainingRegistration(String id, long remainingMillis) {
@@ -123,6 +132,11 @@
     disconnected.remove(id);
   }
 
+  /** Starts a worker again under its identifier. It has forgotten its runs and their ends. */
+  void restart(String id) {
+    workers.put(id, new Worker(id, worker(id).incarnation + 1));
+  }
+
   /**
    * Leaves the next start order unanswered and executes it after a delay. Until then, workers
    * refuse start orders as unhealthy.
@@ -275,6 +289,7 @@
   /** A worker with its active runs and unacknowledged ends. */
   private final class Worker {
     private final String id;
+    private final long incarnation;
     private final Map<String, Run> running = new LinkedHashMap<>();
     private final Map<String, Integer> lastRuns = new HashMap<>();
     private final List<EndedTask> ended = new ArrayList<>();
@@ -282,8 +297,9 @@
     private long leaseUntilMillis;
     private long lastEndNumber;
 
-    Worker(String id) {
+    Worker(String id, long incarnation) {
       this.id = id;
+      this.incarnation = incarnation;
     }
 
     OrderAnswer start(StartOrder order) {
@@ -337,7 +353,7 @@
       ended.removeIf(each -> each.endNumber() <= order.lastAcknowledgedEnd());
       List<RunningTask> list = new ArrayList<>();
       running.forEach((task, run) -> list.add(run.listed(task)));
-      return new PollAnswer.Listing(1, clock(), list, ended);
+      return new PollAnswer.Listing(incarnation, clock(), list, ended);
     }
 
     void expire() {
