Reserve for urgent jobs the workers that they run on first

Cause: what urgent jobs use already was kept free once more, on the first workers by rack, and a less urgent job waited for the other workers because it would fit there if the urgent job were not running.

Ruled out by the record: no room (three of six workers of the rack idle), an excluded worker (no failure before), a leader that lost the job (it is queued).

Change: workers that run urgent jobs are reserved first, then those reserved last, then others; a less urgent job waits for workers that are not reserved only if it fits there beside the urgent runs. Urgent work without an end counts only until it runs.

Urgent gangs that keep arriving still preempt few runs (the older tests of UrgentArrivalsTest).

--- a/src/main/java/io/dragonflyturn/internal/dispatch/PlacementPlanner.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/PlacementPlanner.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -132,8 +133,8 @@
   }
 
   /**
-   * Removes workers that are reserved for urgent jobs, unless the unit could never run without
-   * them.
+   * Removes workers that are reserved for urgent jobs, unless the unit could not run without them
+   * for as long as the urgent jobs that are running now.
    */
   private List<Candidate> excludeReserved(PlacementRequest request, List<Candidate> eligible) {
     if (request.rank() <= UrgencyRanks.URGENT || reservedForUrgent.isEmpty()) {
@@ -141,7 +142,7 @@
     }
     List<Candidate> others =
         eligible.stream().filter(each -> !reservedForUrgent.contains(each.id())).toList();
-    return fitsWhenEmpty(request, others) ? others : eligible;
+    return fits(request, others, WorkerSnapshot::capacityBesideUrgentRuns) ? others : eligible;
   }
 
   /**
@@ -212,9 +213,17 @@
    * runs of its step.
    */
   private static boolean fitsWhenEmpty(PlacementRequest request, List<Candidate> candidates) {
+    return fits(request, candidates, WorkerSnapshot::capacity);
+  }
+
+  /** Returns whether all tasks of a unit would fit on the workers with the given resources. */
+  private static boolean fits(
+      PlacementRequest request,
+      List<Candidate> candidates,
+      Function<WorkerSnapshot, Resources> resources) {
     int copies = 0;
     for (Candidate candidate : candidates) {
-      copies += candidate.copiesThatFit(request, candidate.worker().capacity());
+      copies += candidate.copiesThatFit(request, resources.apply(candidate.worker()));
     }
     return copies >= request.tasks();
   }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/UrgentHeadroom.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/UrgentHeadroom.java
@@ -15,6 +15,9 @@
  * would preempt the runs that were started on the resources of the previous gang. The reserved
  * headroom equals the peak demand of urgent jobs within a sliding window; nothing is reserved if
  * there were no urgent jobs.
+ *
+ * <p>What urgent jobs use already is part of their peak demand, so the workers that run them are
+ * reserved first, and other workers only for the rest.
  */
 final class UrgentHeadroom {
   /**
@@ -31,6 +34,9 @@
 
   private final Deque<Peak> peaks = new ArrayDeque<>();
 
+  /** The workers that were chosen last; they are kept, so that their free resources stay free. */
+  private Set<String> chosenLast = Set.of();
+
   /** Records the number of accelerators that urgent jobs currently use or wait for. */
   void observe(long accelerators, long nowMillis) {
     while (!peaks.isEmpty() && nowMillis - peaks.getFirst().sinceMillis > WINDOW_MILLIS) {
@@ -51,27 +57,34 @@
   }
 
   /**
-   * Chooses healthy workers, rack by rack, until their accelerators cover the headroom.
+   * Chooses healthy workers until their accelerators cover the headroom: those that run urgent
+   * jobs, then those that were chosen last, then others rack by rack.
    *
    * @return the identifiers of the chosen workers
    */
   Set<String> chooseWorkers(List<WorkerSnapshot> workers) {
-    List<WorkerSnapshot> byRack = new ArrayList<>(workers);
-    byRack.sort(Comparator.comparing(WorkerSnapshot::rack).thenComparing(WorkerSnapshot::id));
+    List<WorkerSnapshot> inOrder = new ArrayList<>(workers);
+    inOrder.sort(
+        Comparator.comparing((WorkerSnapshot worker) -> !worker.runsUrgentJob())
+            .thenComparing(worker -> !chosenLast.contains(worker.id()))
+            .thenComparing(WorkerSnapshot::rack)
+            .thenComparing(WorkerSnapshot::id));
     long totalAccelerators =
         workers.stream().mapToLong(each -> each.capacity().accelerators()).sum();
     long remaining =
         Math.min(peakAccelerators(), (long) (totalAccelerators * MAXIMUM_RESERVED_SHARE));
     Set<String> chosen = new HashSet<>();
-    for (WorkerSnapshot worker : byRack) {
+    for (WorkerSnapshot worker : inOrder) {
       if (remaining <= 0) {
         break;
       }
-      if (worker.healthy() && worker.capacity().accelerators() > 0) {
+      int accelerators = worker.preemptibleCapacity().accelerators();
+      if (worker.healthy() && accelerators > 0) {
         chosen.add(worker.id());
-        remaining -= worker.capacity().accelerators();
+        remaining -= accelerators;
       }
     }
+    chosenLast = chosen;
     return chosen;
   }
 
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkUnit.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkUnit.java
@@ -67,9 +67,13 @@
     return isGang() ? step().replicas() : 1;
   }
 
-  /** Returns the number of accelerators that the unit uses or waits for; 0 once it is done. */
+  /**
+   * Returns the number of accelerators that the unit uses or waits for; 0 once it is done, or once
+   * it runs without an end, because it then leaves nothing to later work.
+   */
   long outstandingAccelerators() {
-    return done ? 0 : (long) tasks() * step().demand().accelerators();
+    boolean staysInUse = step().endless() && run != null;
+    return done || staysInUse ? 0 : (long) tasks() * step().demand().accelerators();
   }
 
   /** Returns the key under which the run record of the unit is stored. */
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkerSnapshot.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerSnapshot.java
@@ -2,6 +2,7 @@
 
 import io.dragonflyturn.internal.workload.Resources;
 import java.util.List;
+import java.util.function.Predicate;
 
 /**
  * The state of a worker at the start of a planning round.
@@ -27,6 +28,29 @@
     return condition != WorkerCondition.EXCLUDED;
   }
 
+  /** Returns whether a run of an urgent job that can be preempted is on the worker. */
+  boolean runsUrgentJob() {
+    return allocations.stream().anyMatch(Allocation::isUrgent);
+  }
+
+  /** Returns the resources that are not allocated to runs which are never preempted. */
+  Resources preemptibleCapacity() {
+    return capacityWithout(each -> each.rank() == UrgencyRanks.NOT_PREEMPTIBLE);
+  }
+
+  /** Returns the resources that less urgent jobs could use if all of their runs were over. */
+  Resources capacityBesideUrgentRuns() {
+    return capacityWithout(each -> each.isUrgent() || each.rank() == UrgencyRanks.NOT_PREEMPTIBLE);
+  }
+
+  private Resources capacityWithout(Predicate<Allocation> excluded) {
+    Resources remaining = capacity;
+    for (Allocation allocation : allocations) {
+      remaining = excluded.test(allocation) ? remaining.minus(allocation.demand()) : remaining;
+    }
+    return remaining;
+  }
+
   /**
    * The resources that are allocated to a member of a run.
    *
@@ -38,5 +62,10 @@
    *     core-milliseconds
    */
   record Allocation(
-      String unitKey, int rank, Resources demand, boolean stopping, long preemptionCost) {}
+      String unitKey, int rank, Resources demand, boolean stopping, long preemptionCost) {
+    /** Returns whether the run belongs to an urgent job, and can be preempted. */
+    boolean isUrgent() {
+      return rank <= UrgencyRanks.URGENT && rank != UrgencyRanks.NOT_PREEMPTIBLE;
+    }
+  }
 }
--- a/src/test/java/io/dragonflyturn/internal/dispatch/UrgentArrivalsTest.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/UrgentArrivalsTest.java
@@ -57,6 +57,23 @@
     assertThat(fixture.workers.runningTasks()).hasSize(WORKERS * 8);
   }
 
+  /** An accepted job waited beside idle workers for as long as an urgent job ran elsewhere. */
+  @Test
+  void should_place_a_task_beside_a_long_urgent_job_that_uses_the_rest_of_its_rack() {
+    fixture.workers.setWorkMillis(3_000);
+    fixture.submit("first", 1, DispatchFixture.step(WORKERS / 2, false, WHOLE_WORKER));
+    fixture.advance(1_500);
+    fixture.workers.setWorkMillis(60_000);
+    fixture.submit("urgent", 0, DispatchFixture.step(WORKERS / 2, false, WHOLE_WORKER));
+    fixture.advance(4_000);
+    assertThat(fixture.workers.runningTasks()).hasSize(WORKERS / 2);
+
+    fixture.submit("last", 1, DispatchFixture.step(1, false, WHOLE_WORKER));
+    fixture.advance(1_000);
+
+    assertThat(fixture.workers.runningTasks()).contains("last.0.0.0");
+  }
+
   private void simulateArrivals() {
     StepSpecification gang = DispatchFixture.step(2, true, WHOLE_WORKER);
     for (int second = 0; second < SECONDS; second++) {
