Log why a job waits, and when leases are shortened or given up

Change: job-waits, once for each job and cause after 2 s, with the number of reserved workers; leases-shortened and leases-restored at a leader without news; worker-leases-ended when the runs of a silent worker are given up.

--- a/src/main/java/io/dragonflyturn/internal/dispatch/ActiveJob.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/ActiveJob.java
@@ -1,12 +1,15 @@
 package io.dragonflyturn.internal.dispatch;
 
+import io.dragonflyturn.internal.dispatch.PlacementPlan.WaitCause;
 import io.dragonflyturn.internal.workload.RunRecord;
 import io.dragonflyturn.internal.workload.StepSpecification;
 import io.dragonflyturn.internal.workload.SubmittedJob;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /** A job that the leader is executing, with its work units by occurrence and step. */
@@ -17,6 +20,7 @@
   private int unfinishedOccurrences;
   private int nextOccurrence;
   private boolean ending;
+  private final Set<WaitCause> waitCauses = EnumSet.noneOf(WaitCause.class);
 
   ActiveJob(JobEntry entry, long receivedMillis) {
     this.entry = entry;
@@ -54,6 +58,11 @@
     ending = true;
   }
 
+  /** Records why a unit of the job waits. Returns whether the cause is new for this job. */
+  boolean addWaitCause(WaitCause cause) {
+    return waitCauses.add(cause);
+  }
+
   /** Creates the units of all occurrences that are due. */
   void createDueOccurrences(long timeOfDayMillis) {
     while (nextOccurrence < submission().recurrence().occurrences()
--- a/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
@@ -38,6 +38,7 @@
   private final RunLoader runLoader;
   private @Nullable LoadedRuns loadedRuns;
   private boolean ready;
+  private boolean leasesShortened;
   private boolean closed;
   private long lastWriteMillis;
   private final long startedMillis;
@@ -349,6 +350,7 @@
   }
 
   void tick() {
+    logShortenedLeases();
     startIfLoaded();
     writeHeartbeatIfDue();
     if (!ready) {
@@ -358,6 +360,19 @@
     requestRound();
   }
 
+  /** Logs when leases begin or cease to end early because there is no news from the store. */
+  private void logShortenedLeases() {
+    if (leadershipLease.shortensWorkerLeases() == leasesShortened) {
+      return;
+    }
+    leasesShortened = !leasesShortened;
+    context
+        .events()
+        .event(leasesShortened ? "leases-shortened" : "leases-restored")
+        .with("term", term)
+        .write();
+  }
+
   /**
    * Writes a leadership record if nothing was written for the heartbeat interval, so that no other
    * instance proposes itself.
--- a/src/main/java/io/dragonflyturn/internal/dispatch/PlacementLoop.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/PlacementLoop.java
@@ -1,6 +1,7 @@
 package io.dragonflyturn.internal.dispatch;
 
 import io.dragonflyturn.internal.dispatch.PlacementPlan.PlacedUnit;
+import io.dragonflyturn.internal.dispatch.PlacementPlan.WaitCause;
 import io.dragonflyturn.internal.ledger.SequencedWriter;
 import java.util.ArrayList;
 import java.util.List;
@@ -15,6 +16,9 @@
    */
   private static final int PLANNING_TIME_DIVISOR = 4;
 
+  /** How long a unit waits before the cause is logged. */
+  private static final long LOGGED_WAIT_MILLIS = 2_000;
+
   /** The maximum pause between two rounds. */
   private static final long MAXIMUM_PAUSE_MILLIS = 200;
 
@@ -96,6 +100,29 @@
       startUnit(waiting.get(placed.unitKey()), placed.workers());
     }
     plan.preempted().forEach(this::preempt);
+    plan.waiting().forEach((unitKey, cause) -> logWait(waiting.get(unitKey), cause));
+  }
+
+  /** Logs why a unit of a job has waited for a while; each cause once for a job. */
+  private void logWait(@Nullable WorkUnit unit, WaitCause cause) {
+    if (unit == null) {
+      return;
+    }
+    long waitedMillis = context.nowMillis() - unit.readySinceMillis();
+    if (waitedMillis < LOGGED_WAIT_MILLIS || !unit.job().addWaitCause(cause)) {
+      return;
+    }
+    context
+        .events()
+        .event("job-waits")
+        .with("job", unit.job().id())
+        .with("unit", unit.key())
+        .with("cause", cause)
+        .with("waitedMillis", waitedMillis)
+        .with("workers", fleet.sessions().size())
+        .with("reservedWorkers", headroom.reservedWorkers())
+        .with("term", term)
+        .write();
   }
 
   private void startUnit(@Nullable WorkUnit unit, List<String> workers) {
--- a/src/main/java/io/dragonflyturn/internal/dispatch/UrgentHeadroom.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/UrgentHeadroom.java
@@ -51,6 +51,11 @@
     }
   }
 
+  /** Returns the number of workers that were chosen last. */
+  int reservedWorkers() {
+    return chosenLast.size();
+  }
+
   /** Returns the peak demand within the window, in accelerators. */
   private long peakAccelerators() {
     return peaks.stream().mapToLong(Peak::accelerators).max().orElse(0);
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkerPoller.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerPoller.java
@@ -95,6 +95,14 @@
             && session.unansweredPolls() > 0
             && session.haveLeasesExpired(now, context.settings().leaseMillis());
     if (expired) {
+      context
+          .events()
+          .event("worker-leases-ended")
+          .with("worker", session.id())
+          .with("members", session.members().size())
+          .with("unansweredPolls", session.unansweredPolls())
+          .with("term", term)
+          .write();
       List.copyOf(session.members()).forEach(each -> driver.resolve(each, EndKind.LOST, ""));
     }
     for (Member member : List.copyOf(session.members())) {
