Let a new leader act from its proposal on

A leader that is elected before the answer to its first read of the jobs topic, as after a restart, counted as without news from the store and could step down at its next tick, since LeadershipLease knew of reads only.

Change: the proposal was sent before the term was stored, so leases count from it as well.

Evidence: LeadershipLeaseTest.should_grant_leases_from_its_proposal_on_before_the_topic_is_read.

--- a/src/main/java/io/dragonflyturn/internal/dispatch/Dispatcher.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/Dispatcher.java
@@ -94,14 +94,16 @@
   }
 
   @Override
-  public void elected(long termNumber, long nextSequence) {
+  public void elected(long termNumber, long nextSequence, long proposedMillis) {
+    LeadershipLease lease =
+        new LeadershipLease(
+            storeStatus,
+            context.monotonicClock(),
+            context.settings().leaseMillis(),
+            proposedMillis);
     LeaderTerm next =
         new LeaderTerm(
-            context,
-            storeStatus,
-            termNumber,
-            nextSequence,
-            () -> election.stepDown("order-fenced"));
+            context, lease, termNumber, nextSequence, () -> election.stepDown("order-fenced"));
     term = next;
     next.start();
   }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/LeaderElection.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LeaderElection.java
@@ -240,7 +240,7 @@
         .write();
     OptionalLong expectedEnd =
         overtakenByCallers ? OptionalLong.empty() : OptionalLong.of(readOffset);
-    append(new Proposal(term, sequence, expectedEnd));
+    append(new Proposal(term, sequence, expectedEnd, monotonicClock.millis()));
   }
 
   private void append(Proposal proposal) {
@@ -305,11 +305,11 @@
         .with("term", proposal.term)
         .with("offset", stored.offset())
         .write();
-    listener.elected(proposal.term, proposal.sequence + 1);
+    listener.elected(proposal.term, proposal.sequence + 1, proposal.sentMillis);
   }
 
   /** A proposal of this instance as the leader; all retries use the same position in the topic. */
-  private record Proposal(long term, long sequence, OptionalLong expectedEnd) {}
+  private record Proposal(long term, long sequence, OptionalLong expectedEnd, long sentMillis) {}
 
   /** Receives notifications when this instance gains or loses the leadership, on the event loop. */
   public interface Listener {
@@ -319,8 +319,9 @@
      *
      * @param term the term that this instance leads
      * @param nextSequence the sequence number of its next append to the jobs topic
+     * @param proposedMillis when it sent its proposal first, which was stored later
      */
-    void elected(long term, long nextSequence);
+    void elected(long term, long nextSequence, long proposedMillis);
 
     /** Called when this instance is no longer the leader. */
     void leadershipLost();
--- a/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
@@ -3,7 +3,6 @@
 import io.dragonflyturn.internal.dispatch.RunLoader.LoadedRuns;
 import io.dragonflyturn.internal.ledger.KeyedRecord;
 import io.dragonflyturn.internal.ledger.SequencedWriter;
-import io.dragonflyturn.internal.ledger.StoreStatus;
 import io.dragonflyturn.internal.ledger.WriteResult;
 import io.dragonflyturn.internal.workload.JobState;
 import io.dragonflyturn.internal.workload.RunRecord;
@@ -45,17 +44,16 @@
 
   LeaderTerm(
       DispatchContext context,
-      StoreStatus jobsTopic,
+      LeadershipLease leadershipLease,
       long term,
       long nextSequence,
       Runnable onFenced) {
     this.context = context;
+    this.leadershipLease = leadershipLease;
     this.term = term;
     this.onFenced = onFenced;
     this.startedMillis = context.nowMillis();
     this.lastWriteMillis = startedMillis;
-    leadershipLease =
-        new LeadershipLease(jobsTopic, context.monotonicClock(), context.settings().leaseMillis());
     jobsWriter = writer(LedgerKeys.JOBS_TOPIC, nextSequence);
     long firstSequence = ThreadLocalRandom.current().nextInt(1, Integer.MAX_VALUE / 2);
     runsWriter = writer(LedgerKeys.RUNS_TOPIC, firstSequence);
--- a/src/main/java/io/dragonflyturn/internal/dispatch/LeadershipLease.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LeadershipLease.java
@@ -6,23 +6,24 @@
 /**
  * Bounds the leases that a leader grants to workers by what it last read from the store.
  *
- * <p>Only the store tells whether a term is still in force. A leader that has read the jobs topic
- * to its end without finding a later term knows that its own term was in force when it sent that
- * read, and grants no lease that ends later than {@link #DURATION_MILLIS} after it. A successor is
- * elected after any such read, so the leases of all earlier leaders have ended {@link
- * #DURATION_MILLIS} after its own election, also on workers that it cannot reach.
+ * <p>Only the store tells whether a term is still in force. A leader knows that its term was, or
+ * had not been superseded, when it sent its proposal, and when it sent a read that reached the end
+ * of the jobs topic without finding a later term. It grants no lease that ends later than {@link
+ * #DURATION_MILLIS} after that. A successor is elected later, so the leases of all earlier leaders
+ * have ended {@link #DURATION_MILLIS} after its own election, also on workers that it cannot reach.
  */
 final class LeadershipLease {
   /**
-   * How long leases may outlast the last read that showed the term to be in force. Runs survive an
-   * outage of the store that is a few seconds shorter, and a successor waits for as long before it
-   * restarts the runs of workers that it cannot reach.
+   * How long leases may outlast the moment at which the term was last known to be in force. Runs
+   * survive an outage of the store that is a few seconds shorter, and a successor waits for as long
+   * before it restarts the runs of workers that it cannot reach.
    */
   private static final long DURATION_MILLIS = 12_000;
 
   private final StoreStatus jobsTopic;
   private final InstantSource monotonicClock;
   private final long leaseMillis;
+  private final long proposedMillis;
 
   /**
    * Creates the lease of a term.
@@ -30,11 +31,14 @@
    * @param jobsTopic how old this instance's copy of the jobs topic is
    * @param monotonicClock a clock that never goes back
    * @param leaseMillis the duration of a worker's lease while the store is reachable
+   * @param proposedMillis when the proposal of the term was sent
    */
-  LeadershipLease(StoreStatus jobsTopic, InstantSource monotonicClock, long leaseMillis) {
+  LeadershipLease(
+      StoreStatus jobsTopic, InstantSource monotonicClock, long leaseMillis, long proposedMillis) {
     this.jobsTopic = jobsTopic;
     this.monotonicClock = monotonicClock;
     this.leaseMillis = leaseMillis;
+    this.proposedMillis = proposedMillis;
   }
 
   /**
@@ -62,6 +66,7 @@
   }
 
   private long endMillis() {
-    return monotonicClock.millis() - jobsTopic.age().toMillis() + DURATION_MILLIS;
+    long lastReadMillis = monotonicClock.millis() - jobsTopic.age().toMillis();
+    return Math.max(lastReadMillis, proposedMillis) + DURATION_MILLIS;
   }
 }
--- a/src/test/java/io/dragonflyturn/internal/dispatch/LeadershipLeaseTest.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/LeadershipLeaseTest.java
@@ -14,7 +14,7 @@
 
   private final DispatchFixture.RulesStatus jobsTopic = new DispatchFixture.RulesStatus();
   private final InstantSource clock = () -> Instant.ofEpochMilli(NOW_MILLIS);
-  private final LeadershipLease lease = new LeadershipLease(jobsTopic, clock, LEASE_MILLIS);
+  private final LeadershipLease lease = new LeadershipLease(jobsTopic, clock, LEASE_MILLIS, 0);
 
   @Test
   void should_grant_full_leases_while_the_jobs_topic_is_read() {
@@ -34,6 +34,16 @@
     }
   }
 
+  /** The first read of a process that leads at once may be answered after its proposal. */
+  @Test
+  void should_grant_leases_from_its_proposal_on_before_the_topic_is_read() {
+    jobsTopic.age = Duration.ofDays(1);
+    LeadershipLease elected = new LeadershipLease(jobsTopic, clock, LEASE_MILLIS, NOW_MILLIS - 100);
+
+    assertThat(elected.hasExpired()).isFalse();
+    assertThat(elected.workerLeaseEndMillis()).isEqualTo(NOW_MILLIS + LEASE_MILLIS);
+  }
+
   @Test
   void should_expire_when_a_lease_would_end_at_once() {
     jobsTopic.age = Duration.ofSeconds(20);
