Work out once a round which workers run urgent jobs

The order of workers for the headroom asked each worker's runs at every comparison, and the capacity beside urgent runs was worked out for each waiting unit. No behaviour changes.

--- a/src/main/java/io/dragonflyturn/internal/dispatch/Candidate.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/Candidate.java
@@ -16,10 +16,12 @@
   private final WorkerSnapshot worker;
   private final Set<String> stoppingUnits = new HashSet<>();
   private final Map<String, Integer> placedTasksByStep = new HashMap<>();
+  private final Resources capacityBesideUrgentRuns;
   private Resources free;
 
   Candidate(WorkerSnapshot worker) {
     this.worker = worker;
+    this.capacityBesideUrgentRuns = worker.capacityBesideUrgentRuns();
     this.free = worker.capacity();
     for (Allocation allocation : worker.allocations()) {
       reserve(allocation.demand());
@@ -41,6 +43,11 @@
     return free;
   }
 
+  /** Returns the resources that less urgent jobs could use if all of their runs were over. */
+  Resources capacityBesideUrgentRuns() {
+    return capacityBesideUrgentRuns;
+  }
+
   void reserve(Resources demand) {
     free = free.minus(demand);
   }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/PlacementPlanner.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/PlacementPlanner.java
@@ -11,7 +11,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -142,7 +141,7 @@
     }
     List<Candidate> others =
         eligible.stream().filter(each -> !reservedForUrgent.contains(each.id())).toList();
-    return fits(request, others, WorkerSnapshot::capacityBesideUrgentRuns) ? others : eligible;
+    return fits(request, others, Candidate::capacityBesideUrgentRuns) ? others : eligible;
   }
 
   /**
@@ -213,17 +212,15 @@
    * runs of its step.
    */
   private static boolean fitsWhenEmpty(PlacementRequest request, List<Candidate> candidates) {
-    return fits(request, candidates, WorkerSnapshot::capacity);
+    return fits(request, candidates, candidate -> candidate.worker().capacity());
   }
 
   /** Returns whether all tasks of a unit would fit on the workers with the given resources. */
   private static boolean fits(
-      PlacementRequest request,
-      List<Candidate> candidates,
-      Function<WorkerSnapshot, Resources> resources) {
+      PlacementRequest request, List<Candidate> candidates, ResourceView view) {
     int copies = 0;
     for (Candidate candidate : candidates) {
-      copies += candidate.copiesThatFit(request, resources.apply(candidate.worker()));
+      copies += candidate.copiesThatFit(request, view.of(candidate));
     }
     return copies >= request.tasks();
   }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/UrgentHeadroom.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/UrgentHeadroom.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Chooses workers to reserve for urgent jobs, based on their recent peak demand.
@@ -68,9 +69,14 @@
    * @return the identifiers of the chosen workers
    */
   Set<String> chooseWorkers(List<WorkerSnapshot> workers) {
+    Set<String> runningUrgentJobs =
+        workers.stream()
+            .filter(WorkerSnapshot::runsUrgentJob)
+            .map(WorkerSnapshot::id)
+            .collect(Collectors.toSet());
     List<WorkerSnapshot> inOrder = new ArrayList<>(workers);
     inOrder.sort(
-        Comparator.comparing((WorkerSnapshot worker) -> !worker.runsUrgentJob())
+        Comparator.comparing((WorkerSnapshot worker) -> !runningUrgentJobs.contains(worker.id()))
             .thenComparing(worker -> !chosenLast.contains(worker.id()))
             .thenComparing(WorkerSnapshot::rack)
             .thenComparing(WorkerSnapshot::id));
