--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkerSession.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerSession.java
@@ -45,8 +45,7 @@
   WorkerSession(WorkerRegistration registration, long nowMillis) {
     this.registration = registration;
     this.incarnation = registration.incarnation();
-    this.workerClockMillis = registration.clockMillis();
-    this.clockReadMillis = nowMillis;
+    startClock(registration.clockMillis(), nowMillis);
   }
 
   String id() {
@@ -92,6 +91,10 @@
     lastSeenEnd = 0;
     lastRecordedEnd = 0;
     lastAcknowledgedEnd = 0;
+    startClock(clockMillis, nowMillis);
+  }
+
+  private void startClock(long clockMillis, long nowMillis) {
     workerClockMillis = clockMillis;
     clockReadMillis = nowMillis;
   }
@@ -102,8 +105,7 @@
    */
   void recordClock(long clockMillis, long nowMillis) {
     if (clockMillis >= workerTimeMillis(nowMillis)) {
-      workerClockMillis = clockMillis;
-      clockReadMillis = nowMillis;
+      startClock(clockMillis, nowMillis);
     }
   }
 
