--- a/review/standins-2/Fleet.java
+++ b/review/standins-2/Fleet.java
@@ -144,6 +144,11 @@
       breakGang(run);
       return;
     }
+    if (run.number == 1 && run.workedMillis >= number(run.spec, "fails", Long.MAX_VALUE)) {
+      end(run, "failed");
+      breakGang(run);
+      return;
+    }
     if (run.workedMillis >= number(run.spec, "ms", 1_000)) {
       end(run, "done");
       if (gang > 1) {
@@ -152,6 +157,14 @@
     }
   }
 
+  /** The progress of a run; a task that lasts is at work, at 100, once it has started up. */
+  private static long percent(Run run) {
+    long startup = number(run.spec, "startup", 0);
+    return startup > 0
+        ? Math.min(100, 100 * run.workedMillis / startup)
+        : Math.min(99, 100 * run.workedMillis / Math.max(1, number(run.spec, "ms", 1_000)));
+  }
+
   private List<Run> members(Run run) {
     List<Run> members = new ArrayList<>();
     for (Worker worker : workers.values()) {
@@ -374,9 +387,7 @@
       }
       List<Object> rows = new ArrayList<>();
       for (Run run : running.values()) {
-        long percent =
-            Math.min(99, 100 * run.workedMillis / Math.max(1, number(run.spec, "ms", 1_000)));
-        rows.add(List.of(run.task, run.number, "", percent, 0));
+        rows.add(List.of(run.task, run.number, "", percent(run), 0));
       }
       List<Object> ends = new ArrayList<>();
       for (Run run : ended.subList(0, Math.min(LISTED_ENDS, ended.size()))) {
