--- a/review/standins-2/QueuedStop.java
+++ b/review/standins-2/QueuedStop.java
@@ -1,11 +1,17 @@
-/** A running job is cancelled while many starts of another job wait to be sent to its worker. */
+import java.util.ArrayList;
+import java.util.List;
+
+/** A running job is cancelled while many starts of other jobs wait to be sent to its worker. */
 final class QueuedStop {
   private static final int RUNNING_JOB = 1;
   private static final int RUNNING_TASKS = 4;
-  private static final int LARGE_JOB = 2;
-  private static final int LARGE_TASKS = 400;
+  private static final int LARGE_JOBS = 5;
+  private static final int LARGE_TASKS = 94;
   private static final long START_MILLIS = 60;
 
+  /** Time for the leader to read and place all of the large jobs. */
+  private static final long PLACING_MILLIS = 300;
+
   private QueuedStop() {}
 
   public static void main(String[] arguments) {
@@ -20,8 +26,9 @@
     awaitRuns(fleet, RUNNING_TASKS);
     Thread.sleep(2_000);
     if (deployment.trouble) {
-      deployment.submitTasks(LARGE_JOB, LARGE_TASKS, 1_000, ",\"cpu\":75,\"memMb\":32");
-      awaitRuns(fleet, RUNNING_TASKS + 10);
+      handInLargeJobs(deployment);
+      awaitRuns(fleet, RUNNING_TASKS + LARGE_JOBS);
+      Thread.sleep(PLACING_MILLIS);
     }
     int status =
         deployment.send(
@@ -45,6 +52,21 @@
     return status != 200 || broken == 0;
   }
 
+  private static void handInLargeJobs(Deployment deployment) throws InterruptedException {
+    List<Thread> consumers = new ArrayList<>();
+    for (int job = 0; job < LARGE_JOBS; job++) {
+      int number = RUNNING_JOB + 1 + job;
+      consumers.add(
+          Thread.startVirtualThread(
+              () ->
+                  deployment.submitTasks(
+                      number, LARGE_TASKS, 1_000, ",\"cpu\":60,\"memMb\":32")));
+    }
+    for (Thread consumer : consumers) {
+      consumer.join();
+    }
+  }
+
   private static void awaitRuns(Fleet fleet, int count) throws InterruptedException {
     long until = Journal.now() + 15_000;
     while (fleet.runs().size() < count) {
