--- a/review/standins-2/Deployment.java
+++ b/review/standins-2/Deployment.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -57,7 +58,7 @@
       fleet.add("i-worker" + number, ZONES.get(number % 3), "r" + number / 8);
     }
     fleet.start();
-    Runtime.getRuntime().addShutdownHook(new Thread(() -> instances.forEach(Instance::kill)));
+    Runtime.getRuntime().addShutdownHook(new Thread(this::cleanUp));
     for (int number = 0; number < instanceCount; number++) {
       instances.add(new Instance(number, instanceCount));
     }
@@ -225,12 +226,20 @@
 
   @Override
   public void close() {
-    instances.forEach(Instance::kill);
+    cleanUp();
     fleet.close();
     store.close();
     journal.close();
+  }
+
+  /** Ends all processes that the case started, and deletes its temporary folder. */
+  private synchronized void cleanUp() {
+    instances.forEach(Instance::kill);
+    if (!Files.exists(directory)) {
+      return;
+    }
     try (var files = Files.walk(directory)) {
-      for (Path file : files.sorted(java.util.Comparator.reverseOrder()).toList()) {
+      for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
         Files.delete(file);
       }
     } catch (IOException failure) {
@@ -354,7 +363,7 @@
 
     void kill() {
       if (process != null && process.isAlive()) {
-        process.destroyForcibly();
+        process.destroyForcibly().onExit().join();
         journal.line("%s was killed", name);
       }
     }
