--- a/review/standins-2/Deployment.java
+++ b/review/standins-2/Deployment.java
@@ -20,7 +20,7 @@
 final class Deployment implements AutoCloseable {
   static final List<String> ZONES = List.of("north", "south", "west");
   static final String HOST = "jobs.example";
-  static final String PREFIX = "/work/";
+  static final String PREFIX = "/jobs/";
   static final String KEY = "key-of-tenant-a";
 
   /** How long a machine that was killed stays down; the dose of the site files is 3.5 s. */
