Conclude nothing from a list of ends that may have been cut

Cause: a worker lists at most 500 unacknowledged ends. RunReconciler (then WorkerPoller.reconcile) took each member that was on neither list for lost, although the ends beyond the first 500 were only not listed yet. The same path serves a new leader that adopts runs, a run whose stop was accepted, and a start that was refused as old, so all of these concluded the same.

Why it works: the adapter says whether the list was full, and a missing member stays undecided until a list that is not full. That comes as soon as the listed ends are stored: the next poll then follows at once, in place of a pause of 100 ms, or of 800 ms for a worker without members. The fleet of the stand-ins cuts its lists in the same way.

--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkerPoller.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerPoller.java
@@ -2,24 +2,20 @@
 
 import io.dragonflyturn.internal.dispatch.Member.State;
 import io.dragonflyturn.internal.fleet.EndKind;
-import io.dragonflyturn.internal.fleet.EndedTask;
 import io.dragonflyturn.internal.fleet.OrderAnswer.Reason;
 import io.dragonflyturn.internal.fleet.PollAnswer;
 import io.dragonflyturn.internal.fleet.PollAnswer.Listing;
 import io.dragonflyturn.internal.fleet.PollAnswer.Refused;
 import io.dragonflyturn.internal.fleet.PollAnswer.Unanswered;
 import io.dragonflyturn.internal.fleet.PollOrder;
-import io.dragonflyturn.internal.fleet.RunningTask;
-import io.dragonflyturn.internal.fleet.StopOrder;
 import io.dragonflyturn.internal.logging.LoggedCallback;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
 /**
- * Polls workers to renew their leases, and reconciles the members of each session with the runs
- * that the worker lists.
+ * Polls workers to renew their leases and to learn which runs they list, and acknowledges the ends
+ * of runs once they are stored.
  *
  * <p>One long poll is open for each worker with members. A worker without members is polled only to
  * acknowledge ended runs, and after an unanswered poll until it answers again.
@@ -51,6 +47,7 @@
   private final RunDriver driver;
   private final WorkerHealth health;
   private final RunDriver.Listener listener;
+  private final RunReconciler reconciler;
   private boolean closed;
 
   WorkerPoller(
@@ -66,6 +63,7 @@
     this.driver = driver;
     this.health = health;
     this.listener = listener;
+    this.reconciler = new RunReconciler(context, term, driver, health);
   }
 
   void close() {
@@ -77,7 +75,7 @@
     if (closed || session.isPolling() || session.isPollScheduled() || !session.needsPoll()) {
       return;
     }
-    if (session.members().isEmpty()) {
+    if (session.members().isEmpty() && !session.hasUnlistedEnds()) {
       schedulePoll(session, MEMBERLESS_POLL_DELAY_MILLIS);
       return;
     }
@@ -128,21 +126,22 @@
   }
 
   private void schedulePoll(WorkerSession session, long delayMillis) {
-    session.setPollScheduled(true);
-    context
-        .eventLoop()
-        .schedule(
-            () -> {
-              session.setPollScheduled(false);
-              if (!closed && !session.isPolling() && session.needsPoll()) {
-                poll(session);
-              }
-            },
-            delayMillis,
-            TimeUnit.MILLISECONDS);
+    ScheduledFuture<?> scheduled =
+        context
+            .eventLoop()
+            .schedule(() -> runScheduledPoll(session), delayMillis, TimeUnit.MILLISECONDS);
+    session.setScheduledPoll(scheduled);
+  }
+
+  private void runScheduledPoll(WorkerSession session) {
+    session.cancelScheduledPoll();
+    if (!closed && !session.isPolling() && session.needsPoll()) {
+      poll(session);
+    }
   }
 
   private void poll(WorkerSession session) {
+    session.cancelScheduledPoll();
     session.setPolling(true);
     context.metrics().polls().inc();
     long pollSentMillis = context.nowMillis();
@@ -193,7 +192,8 @@
       case Listing listing -> {
         answeredAgain(session);
         session.markEndAcknowledged(acknowledgedEnd);
-        reconcile(session, pollSentMillis, listing);
+        reconciler.reconcile(session, pollSentMillis, listing);
+        acknowledgeOnceStored(session);
         continuePolling(session);
       }
       case Refused refused -> pollRefused(session, refused.reason());
@@ -253,87 +253,36 @@
     schedulePollAfterFailure(session);
   }
 
-  private void continuePolling(WorkerSession session) {
-    if (session.hasUnrecordedEnds()) {
-      schedulePoll(session, UNRECORDED_END_POLL_DELAY_MILLIS);
-    } else {
-      pollIfNeeded(session);
-    }
-  }
-
-  /** Updates the members of a session from the runs that the worker lists. */
-  private void reconcile(WorkerSession session, long pollSentMillis, Listing listing) {
-    long now = context.nowMillis();
-    if (listing.incarnation() > session.incarnation()) {
-      session.beginIncarnation(listing.incarnation(), listing.clockMillis(), now);
-    }
-    session.recordClock(listing.clockMillis(), now);
-    Set<String> listed = new HashSet<>();
-    for (RunningTask running : listing.running()) {
-      listed.add(running.task());
-      reconcileRunning(session, running);
-    }
-    for (EndedTask ended : listing.ended()) {
-      listed.add(ended.task());
-      reconcileEnded(session, ended);
-    }
-    for (Member member : List.copyOf(session.members())) {
-      boolean missing = !listed.contains(member.task());
-      if (missing && member.mustBeListed(pollSentMillis, context.settings().maximumStopMillis())) {
-        driver.resolve(member, EndKind.LOST, "");
-      }
+  /**
+   * Acknowledges the ends that have been seen, by the next poll after they are stored. If the
+   * worker has more ends than it listed, that poll follows at once, because it also asks for the
+   * others.
+   */
+  private void acknowledgeOnceStored(WorkerSession session) {
+    if (!session.hasUnrecordedEnds()) {
+      return;
     }
     long incarnation = session.incarnation();
     long endNumber = session.lastSeenEnd();
-    if (session.hasUnrecordedEnds()) {
-      driver.whenStored(
-          () -> {
-            if (session.incarnation() == incarnation) {
-              session.markEndRecorded(endNumber);
-              pollIfNeeded(session);
-            }
-          });
-    }
+    driver.whenStored(
+        () -> {
+          if (session.incarnation() != incarnation) {
+            return;
+          }
+          session.markEndRecorded(endNumber);
+          if (session.hasUnlistedEnds() && !closed && !session.isPolling()) {
+            poll(session);
+          } else {
+            pollIfNeeded(session);
+          }
+        });
   }
 
-  private void reconcileRunning(WorkerSession session, RunningTask running) {
-    Member member = session.member(running.task());
-    if (member == null || member.run().number() != running.runNumber()) {
-      stopUnknownRun(session, running);
-      return;
-    }
-    if (member.state() == State.UNCERTAIN || member.state() == State.SENT) {
-      member.confirm(context.nowMillis());
-    }
-    if (member.updateProgress(running.percent(), context.nowMillis())) {
-      health.recordProgress(session.id());
-    }
-    member.unit().updateCheckpoint(running.checkpoint());
-  }
-
-  /** Stops a run that the worker lists but that the leader has not placed there. */
-  private void stopUnknownRun(WorkerSession session, RunningTask running) {
-    context
-        .events()
-        .event("unknown-run")
-        .with("task", running.task())
-        .with("run", running.runNumber())
-        .with("worker", session.id())
-        .with("term", term)
-        .write();
-    context
-        .gateway()
-        .stop(session.registration(), new StopOrder(running.task(), running.runNumber(), term));
-  }
-
-  private void reconcileEnded(WorkerSession session, EndedTask ended) {
-    if (ended.endNumber() <= session.lastSeenEnd()) {
-      return;
-    }
-    session.markEndSeen(ended.endNumber());
-    Member member = session.member(ended.task());
-    if (member != null && member.run().number() == ended.runNumber()) {
-      driver.resolve(member, ended.kind(), ended.checkpoint());
+  private void continuePolling(WorkerSession session) {
+    if (session.hasUnrecordedEnds()) {
+      schedulePoll(session, UNRECORDED_END_POLL_DELAY_MILLIS);
+    } else {
+      pollIfNeeded(session);
     }
   }
 }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkerSession.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerSession.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.concurrent.ScheduledFuture;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -39,7 +40,8 @@
   private long lastRecordedEnd;
   private long lastAcknowledgedEnd;
   private boolean polling;
-  private boolean pollScheduled;
+  private @Nullable ScheduledFuture<?> scheduledPoll;
+  private boolean unlistedEnds;
   private int unansweredPolls;
 
   WorkerSession(WorkerRegistration registration, long nowMillis) {
@@ -91,6 +93,7 @@
     lastSeenEnd = 0;
     lastRecordedEnd = 0;
     lastAcknowledgedEnd = 0;
+    unlistedEnds = false;
     startClock(clockMillis, nowMillis);
   }
 
@@ -200,11 +203,28 @@
   }
 
   boolean isPollScheduled() {
-    return pollScheduled;
+    return scheduledPoll != null;
   }
 
-  void setPollScheduled(boolean newPollScheduled) {
-    pollScheduled = newPollScheduled;
+  void setScheduledPoll(ScheduledFuture<?> poll) {
+    scheduledPoll = poll;
+  }
+
+  /** Cancels the scheduled poll; does nothing if there is none. */
+  void cancelScheduledPoll() {
+    if (scheduledPoll != null) {
+      scheduledPoll.cancel(false);
+      scheduledPoll = null;
+    }
+  }
+
+  /** Returns whether the worker had more unacknowledged ends than its last answer listed. */
+  boolean hasUnlistedEnds() {
+    return unlistedEnds;
+  }
+
+  void setUnlistedEnds(boolean newUnlistedEnds) {
+    unlistedEnds = newUnlistedEnds;
   }
 
   int unansweredPolls() {
--- a/src/main/java/io/dragonflyturn/internal/fleet/PollAnswer.java
+++ b/src/main/java/io/dragonflyturn/internal/fleet/PollAnswer.java
@@ -11,10 +11,16 @@
    *     identifies the worker's incarnation
    * @param clockMillis the current time of the worker's monotonic clock, in milliseconds
    * @param running the active runs
-   * @param ended the ended runs whose ends are not acknowledged yet
+   * @param ended the ended runs whose ends are not acknowledged yet, those with the lowest numbers
+   * @param endsComplete whether {@code ended} contains all of them; otherwise a run that is in
+   *     neither list may have ended
    */
   record Listing(
-      long incarnation, long clockMillis, List<RunningTask> running, List<EndedTask> ended)
+      long incarnation,
+      long clockMillis,
+      List<RunningTask> running,
+      List<EndedTask> ended,
+      boolean endsComplete)
       implements PollAnswer {
     /** Copies the lists. */
     public Listing {
--- a/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
@@ -34,6 +34,7 @@
   private static final long ANSWER_DELAY_MILLIS = 2;
   private static final long FAILURE_DELAY_MILLIS = 40;
   private static final long ORDER_TIMEOUT_MILLIS = 500;
+  private static final int LISTED_ENDS = 500;
 
   private final ManualLoop loop;
   private final Map<String, Worker> workers = new LinkedHashMap<>();
@@ -137,6 +138,11 @@
     workers.put(id, new Worker(id, worker(id).incarnation + 1));
   }
 
+  /** Makes the worker of a running task lose the run, without an end. */
+  void forgetRun(String task) {
+    worker(workerOf(task)).running.remove(task);
+  }
+
   /**
    * Leaves the next start order unanswered and executes it after a delay. Until then, workers
    * refuse start orders as unhealthy.
@@ -353,7 +359,9 @@
       ended.removeIf(each -> each.endNumber() <= order.lastAcknowledgedEnd());
       List<RunningTask> list = new ArrayList<>();
       running.forEach((task, run) -> list.add(run.listed(task)));
-      return new PollAnswer.Listing(incarnation, clock(), list, ended);
+      List<EndedTask> listedEnds = ended.subList(0, Math.min(LISTED_ENDS, ended.size()));
+      return new PollAnswer.Listing(
+          incarnation, clock(), list, listedEnds, ended.size() < LISTED_ENDS);
     }
 
     void expire() {
