Never repeat an append that the store does not accept

Cause: the record of a placement was longer than the store takes. The store's refusal counted as an unknown outcome, so the writer repeated the append every 60 ms without an end, and all later records waited behind it; while a write is repeated, the leader places nothing. No code read the limits that the settings name, recordBytes and callBytes. Each new leader met the same job again.

The writer sends no record beyond the limits of the settings, keeps each append within them, and splits a batch that is refused all the same until the one record is left, so that it holds up no other. What follows is decided where the record comes from: a job too long to be stored is refused at the door with 400; a gang whose placement is too long ends as failed with the reason job-infeasible; a placement that the store refuses although it is within the limit is withdrawn and tried again after a pause that doubles; and where the store refuses the record of something that has happened, the leader ends its term, so that its successor begins from what is stored. A placement leaves room for what its record may grow by, and a checkpoint of more than 4,096 bytes is not used, because it would make the record of its run too long.

--- a/src/main/java/io/dragonflyturn/internal/dispatch/Dispatcher.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/Dispatcher.java
@@ -101,9 +101,7 @@
             context.monotonicClock(),
             context.settings().leaseMillis(),
             proposedMillis);
-    LeaderTerm next =
-        new LeaderTerm(
-            context, lease, termNumber, nextSequence, () -> election.stepDown("order-fenced"));
+    LeaderTerm next = new LeaderTerm(context, lease, termNumber, nextSequence, election::stepDown);
     term = next;
     next.start();
   }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/LeaderElection.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LeaderElection.java
@@ -4,6 +4,7 @@
 import io.dragonflyturn.internal.ledger.AppendOutcome;
 import io.dragonflyturn.internal.ledger.AppendOutcome.EndOffsetMismatch;
 import io.dragonflyturn.internal.ledger.AppendOutcome.Fenced;
+import io.dragonflyturn.internal.ledger.AppendOutcome.Invalid;
 import io.dragonflyturn.internal.ledger.AppendOutcome.OutOfSequence;
 import io.dragonflyturn.internal.ledger.AppendOutcome.Rejected;
 import io.dragonflyturn.internal.ledger.AppendOutcome.Stored;
@@ -266,6 +267,7 @@
       case Unknown unknown -> retryProposal(proposal);
       case EndOffsetMismatch moved -> proposalRefused(moved.endOffset());
       case Rejected rejected -> proposalPending = false;
+      case Invalid invalid -> proposalPending = false;
       case OutOfSequence other -> otherCandidateWon();
       case Fenced fenced -> otherCandidateWon();
     }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -25,7 +26,7 @@
 
   private final DispatchContext context;
   private final long term;
-  private final Runnable onFenced;
+  private final Consumer<String> onUnable;
   private final LeadershipLease leadershipLease;
   private final SequencedWriter jobsWriter;
   private final SequencedWriter runsWriter;
@@ -42,16 +43,22 @@
   private long lastWriteMillis;
   private final long startedMillis;
 
+  /**
+   * Creates a term that does nothing until it is started.
+   *
+   * @param nextSequence the sequence number of the next append to the jobs topic
+   * @param onUnable called with the cause when this instance cannot be the leader any more
+   */
   LeaderTerm(
       DispatchContext context,
       LeadershipLease leadershipLease,
       long term,
       long nextSequence,
-      Runnable onFenced) {
+      Consumer<String> onUnable) {
     this.context = context;
     this.leadershipLease = leadershipLease;
     this.term = term;
-    this.onFenced = onFenced;
+    this.onUnable = onUnable;
     this.startedMillis = context.nowMillis();
     this.lastWriteMillis = startedMillis;
     jobsWriter = writer(LedgerKeys.JOBS_TOPIC, nextSequence);
@@ -266,7 +273,9 @@
         .write(change)
         .thenAccept(
             result -> {
-              if (result == WriteResult.FENCED && !closed) {
+              if (result == WriteResult.INVALID) {
+                recordNotAccepted();
+              } else if (result == WriteResult.FENCED) {
                 fenced();
               }
             });
@@ -340,10 +349,36 @@
     requestRound();
   }
 
+  @Override
+  public void unitInfeasible(WorkUnit unit, String cause) {
+    ActiveJob job = unit.job();
+    context
+        .events()
+        .event("job-infeasible")
+        .with("job", job.id())
+        .with("unit", unit.key())
+        .with("tasks", unit.tasks())
+        .with("cause", cause)
+        .with("term", term)
+        .write();
+    stopJob(job, cause);
+    recordState(job, JobState.FAILED);
+    updateJob(job);
+  }
+
+  @Override
+  public void recordNotAccepted() {
+    endTerm("record-not-accepted");
+  }
+
   @Override
   public void fenced() {
+    endTerm("order-fenced");
+  }
+
+  private void endTerm(String cause) {
     if (!closed) {
-      onFenced.run();
+      onUnable.accept(cause);
     }
   }
 
--- a/src/main/java/io/dragonflyturn/internal/dispatch/PlanningRound.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/PlanningRound.java
@@ -48,6 +48,7 @@
       job.createDueOccurrences(timeOfDayMillis);
       ready.addAll(job.readyUnits());
     }
+    ready.removeIf(unit -> unit.isPostponed(context.nowMillis()));
     ready.sort(
         Comparator.comparingInt((WorkUnit unit) -> ranks.rankOf(unit.job()))
             .thenComparingLong(unit -> unit.job().submission().acceptedMillis()));
--- a/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
@@ -65,12 +65,41 @@
 
   /**
    * Places a unit on workers, one for each task, and starts its members once the placement is
-   * stored.
+   * stored. A unit whose placement is too long to be stored is never started.
    */
   void start(WorkUnit unit, List<WorkerSession> sessions) {
     context.metrics().waitMillis().update(context.nowMillis() - unit.readySinceMillis());
     ActiveRun run = place(unit, unit.lastRunNumber() + 1, sessions, State.PLACED);
-    store(unit, () -> run.members().forEach(this::sendStart));
+    KeyedRecord placement = record(unit);
+    if (!writer.limits().accept(placement, unit.maximumRecordGrowthBytes())) {
+      withdraw(run);
+      listener.unitInfeasible(unit, "placement-too-long");
+      return;
+    }
+    lastWrite = writer.write(placement).thenApply(result -> placementWritten(run, result));
+    whenStored(() -> run.members().forEach(this::sendStart));
+  }
+
+  /**
+   * Withdraws a placement that the store did not accept. Nothing of it is left to be stored, so
+   * this counts as stored for what is written later.
+   */
+  private WriteResult placementWritten(ActiveRun run, WriteResult result) {
+    if (result != WriteResult.INVALID) {
+      return result;
+    }
+    run.unit().postpone(context.nowMillis());
+    withdraw(run);
+    return WriteResult.STORED;
+  }
+
+  /** Ends a run of which no start order has been sent. */
+  private static void withdraw(ActiveRun run) {
+    for (Member member : run.members()) {
+      member.resolve();
+      member.session().remove(member);
+    }
+    endIfResolved(run);
   }
 
   /**
@@ -126,10 +155,25 @@
 
   /** Writes the record of a unit, and runs an action once it is stored. */
   void store(WorkUnit unit, Runnable whenStored) {
-    lastWrite = writer.write(new KeyedRecord(unit.key(), WorkloadCodec.encodeRun(unit.record())));
+    lastWrite = writer.write(record(unit)).thenApply(this::endTermIfNotAccepted);
     whenStored(whenStored);
   }
 
+  private static KeyedRecord record(WorkUnit unit) {
+    return new KeyedRecord(unit.key(), WorkloadCodec.encodeRun(unit.record()));
+  }
+
+  /**
+   * Ends the term if the store does not accept the record of what has happened already. The next
+   * leader begins from what is stored.
+   */
+  private WriteResult endTermIfNotAccepted(WriteResult result) {
+    if (result == WriteResult.INVALID) {
+      listener.recordNotAccepted();
+    }
+    return result;
+  }
+
   /**
    * Processes the end of a member; does nothing if it is already resolved.
    *
@@ -392,6 +436,16 @@
     /** Called when a run is over without completing its unit, and this is stored. */
     void unitStopped(WorkUnit unit);
 
+    /**
+     * Called when it is certain that a unit can never be started.
+     *
+     * @param cause the reason, for the event log
+     */
+    void unitInfeasible(WorkUnit unit, String cause);
+
+    /** Called when the store does not accept a record that this leader cannot do without. */
+    void recordNotAccepted();
+
     /** Called when resources may have become free. */
     void resourcesChanged();
 
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkUnit.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkUnit.java
@@ -3,6 +3,7 @@
 import io.dragonflyturn.internal.workload.RunRecord;
 import io.dragonflyturn.internal.workload.RunRecord.Phase;
 import io.dragonflyturn.internal.workload.StepSpecification;
+import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -13,6 +14,18 @@
   /** The task index of a unit that is a whole gang. */
   private static final int GANG_INDEX = -1;
 
+  /**
+   * The maximum length of a checkpoint in bytes of UTF-8; a longer one is not used, so that the
+   * record of a run has a maximum length, too.
+   */
+  private static final int MAXIMUM_CHECKPOINT_BYTES = 4_096;
+
+  /** How much the numbers in the record of a run may grow, in bytes. */
+  private static final int MAXIMUM_NUMBER_GROWTH_BYTES = 16;
+
+  private static final long FIRST_POSTPONEMENT_MILLIS = 1_000;
+  private static final int MAXIMUM_POSTPONEMENT_DOUBLINGS = 5;
+
   private final ActiveJob job;
   private final int occurrence;
   private final int stepIndex;
@@ -24,6 +37,8 @@
   private boolean done;
   private @Nullable ActiveRun run;
   private long readySinceMillis;
+  private int postponements;
+  private long postponedUntilMillis;
 
   private WorkUnit(ActiveJob job, int occurrence, int stepIndex, int taskIndex) {
     this.job = job;
@@ -133,6 +148,17 @@
     }
   }
 
+  /** Keeps the unit from being started for a while, which doubles each time. */
+  void postpone(long nowMillis) {
+    int doublings = Math.min(postponements, MAXIMUM_POSTPONEMENT_DOUBLINGS);
+    postponedUntilMillis = nowMillis + (FIRST_POSTPONEMENT_MILLIS << doublings);
+    postponements++;
+  }
+
+  boolean isPostponed(long nowMillis) {
+    return nowMillis < postponedUntilMillis;
+  }
+
   void beginRun(ActiveRun next) {
     run = next;
     lastRunNumber = next.number();
@@ -152,15 +178,22 @@
   }
 
   /**
-   * Sets the latest checkpoint. An empty one is ignored, as are all checkpoints of steps without
-   * checkpoints.
+   * Sets the latest checkpoint. An empty one and one that is too long are ignored, as are all
+   * checkpoints of steps without checkpoints.
    */
   void updateCheckpoint(String newCheckpoint) {
-    if (!newCheckpoint.isEmpty() && step().checkpointed()) {
+    if (!newCheckpoint.isEmpty()
+        && step().checkpointed()
+        && newCheckpoint.getBytes(StandardCharsets.UTF_8).length <= MAXIMUM_CHECKPOINT_BYTES) {
       checkpoint = newCheckpoint;
     }
   }
 
+  /** Returns how much the record of a run may grow after the run has been placed, in bytes. */
+  int maximumRecordGrowthBytes() {
+    return MAXIMUM_NUMBER_GROWTH_BYTES + (step().checkpointed() ? MAXIMUM_CHECKPOINT_BYTES : 0);
+  }
+
   /** Restores the state of the unit, except for its run, from its stored record. */
   void restore(RunRecord stored) {
     lastRunNumber = stored.runNumber();
--- a/src/main/java/io/dragonflyturn/internal/intake/ForwardedWrites.java
+++ b/src/main/java/io/dragonflyturn/internal/intake/ForwardedWrites.java
@@ -3,7 +3,6 @@
 import io.dragonflyturn.internal.dispatch.LedgerKeys;
 import io.dragonflyturn.internal.intake.CallerAnswer.Accepted;
 import io.dragonflyturn.internal.intake.CallerAnswer.OutcomeUnknown;
-import io.dragonflyturn.internal.intake.CallerAnswer.Unavailable;
 import java.time.InstantSource;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -83,7 +82,7 @@
    * @param recordKey the key of the record
    * @param refusal the answer if the call had no effect
    */
-  CompletableFuture<CallerAnswer> answerUnlessWritten(String recordKey, Unavailable refusal) {
+  CompletableFuture<CallerAnswer> answerUnlessWritten(String recordKey, CallerAnswer refusal) {
     ForwardedRecord forwarded = records.get(recordKey);
     return forwarded == null
         ? CompletableFuture.completedFuture(refusal)
@@ -121,7 +120,7 @@
       return openCalls == 0 && !written && !mayBeWritten;
     }
 
-    CallerAnswer answer(Unavailable refusal) {
+    CallerAnswer answer(CallerAnswer refusal) {
       if (written) {
         return new Accepted();
       }
--- a/src/main/java/io/dragonflyturn/internal/intake/JobRequestHandler.java
+++ b/src/main/java/io/dragonflyturn/internal/intake/JobRequestHandler.java
@@ -4,6 +4,7 @@
 import io.dragonflyturn.internal.dispatch.JobEntry;
 import io.dragonflyturn.internal.dispatch.LedgerKeys;
 import io.dragonflyturn.internal.intake.CallerAnswer.Accepted;
+import io.dragonflyturn.internal.intake.CallerAnswer.Malformed;
 import io.dragonflyturn.internal.intake.CallerAnswer.NoSuchJob;
 import io.dragonflyturn.internal.intake.CallerAnswer.NoSuchQueue;
 import io.dragonflyturn.internal.intake.CallerAnswer.OutcomeUnknown;
@@ -39,6 +40,8 @@
  */
 public final class JobRequestHandler {
   private static final byte[] CANCELLED = {1};
+  private static final String TOO_LONG =
+      "The job is too long to be stored; submit it with fewer steps or in several jobs.";
   private static final long RETRY_AFTER_SECONDS = 1;
 
   /** How long a write may be pending before the call is also sent to a peer. */
@@ -261,8 +264,13 @@
               content.specification(),
               content.steps(),
               content.recurrence());
-      pendingWrite =
-          writer.write(new KeyedRecord(recordKey, WorkloadCodec.encodeSubmission(submission)));
+      KeyedRecord submissionRecord =
+          new KeyedRecord(recordKey, WorkloadCodec.encodeSubmission(submission));
+      if (!writer.limits().accept(submissionRecord)) {
+        log("job-refused", id, call.configuration, "too-long");
+        return forwardedWrites.answerUnlessWritten(recordKey, new Malformed(TOO_LONG));
+      }
+      pendingWrite = writer.write(submissionRecord);
       pendingSubmissions.put(id, pendingWrite);
       pendingWrite.thenAccept(result -> pendingSubmissions.remove(id));
     }
@@ -326,7 +334,7 @@
   private CompletableFuture<CallerAnswer> toAnswer(WriteResult result, String recordKey) {
     return switch (result) {
       case STORED -> completed(new Accepted());
-      case REFUSED -> refuse(recordKey);
+      case REFUSED, INVALID -> refuse(recordKey);
       case FENCED -> completed(new OutcomeUnknown());
     };
   }
--- a/src/main/java/io/dragonflyturn/internal/ledger/AppendOutcome.java
+++ b/src/main/java/io/dragonflyturn/internal/ledger/AppendOutcome.java
@@ -29,6 +29,12 @@
   /** Nothing was stored: the store is overloaded, full, or unavailable. */
   record Rejected() implements AppendOutcome {}
 
+  /**
+   * Nothing was stored, and a repetition would not be, because the store does not accept these
+   * records. This may be due to a single one of them.
+   */
+  record Invalid() implements AppendOutcome {}
+
   /** The outcome is unknown: the records may be stored already, or may be stored later. */
   record Unknown() implements AppendOutcome {}
 }
--- a/src/main/java/io/dragonflyturn/internal/ledger/RecordStore.java
+++ b/src/main/java/io/dragonflyturn/internal/ledger/RecordStore.java
@@ -10,6 +10,9 @@
  * failed reads complete exceptionally; a failed append is an {@link AppendOutcome}.
  */
 public interface RecordStore {
+  /** Returns the limits on the size of appends. */
+  AppendLimits limits();
+
   /**
    * Appends records atomically: either all of them or none.
    *
--- a/src/main/java/io/dragonflyturn/internal/ledger/SequencedWriter.java
+++ b/src/main/java/io/dragonflyturn/internal/ledger/SequencedWriter.java
@@ -2,6 +2,7 @@
 
 import io.dragonflyturn.internal.ledger.AppendOutcome.EndOffsetMismatch;
 import io.dragonflyturn.internal.ledger.AppendOutcome.Fenced;
+import io.dragonflyturn.internal.ledger.AppendOutcome.Invalid;
 import io.dragonflyturn.internal.ledger.AppendOutcome.OutOfSequence;
 import io.dragonflyturn.internal.ledger.AppendOutcome.Rejected;
 import io.dragonflyturn.internal.ledger.AppendOutcome.Stored;
@@ -21,6 +22,9 @@
  * while an append is in flight go into the next batch. An append whose response is lost is retried
  * with the same sequence number, so that the store can deduplicate it, until its outcome is known.
  *
+ * <p>A record that the store does not accept is not sent, or is found by splitting the batch that
+ * the store did not accept, so that it does not hold up the others.
+ *
  * <p>Not thread-safe: all methods must be called on the event loop passed to the constructor.
  */
 public final class SequencedWriter {
@@ -84,6 +88,11 @@
       result.complete(WriteResult.REFUSED);
       return result;
     }
+    if (!store.limits().accept(keyedRecord)) {
+      logInvalid(keyedRecord, "too-long");
+      result.complete(WriteResult.INVALID);
+      return result;
+    }
     pending.add(new PendingWrite(keyedRecord, result));
     if (inFlight == null) {
       eventLoop.execute(this::send);
@@ -91,6 +100,11 @@
     return result;
   }
 
+  /** Returns the limits of the store on the size of records. */
+  public AppendLimits limits() {
+    return store.limits();
+  }
+
   /** Returns whether an attempt of the append in flight has failed, so that it is retried. */
   public boolean isRetrying() {
     return failedAttempts > 0;
@@ -118,13 +132,15 @@
   }
 
   private List<PendingWrite> nextBatch() {
+    int maximumBytes = Math.min(MAX_BATCH_BYTES, store.limits().callBytes());
     List<PendingWrite> batch = new ArrayList<>();
     int bytes = 0;
-    while (!pending.isEmpty() && batch.size() < MAX_BATCH_RECORDS && bytes < MAX_BATCH_BYTES) {
-      PendingWrite next = pending.removeFirst();
-      byte @Nullable [] value = next.keyedRecord.value();
-      bytes += value == null ? 0 : value.length;
-      batch.add(next);
+    while (!pending.isEmpty() && batch.size() < MAX_BATCH_RECORDS) {
+      bytes += store.limits().sizeInAppend(pending.getFirst().keyedRecord);
+      if (bytes > maximumBytes && !batch.isEmpty()) {
+        break;
+      }
+      batch.add(pending.removeFirst());
     }
     return batch;
   }
@@ -155,6 +171,7 @@
         finish(batch, WriteResult.STORED);
       }
       case Rejected rejected -> rejected(batch);
+      case Invalid invalid -> invalid(batch);
       case Unknown unknown -> retryLater(batch);
       case EndOffsetMismatch moved -> retryLater(batch);
       case OutOfSequence mismatch -> outOfSequence(batch, mismatch);
@@ -175,6 +192,35 @@
     }
   }
 
+  /**
+   * Sends the first half of a batch that the store did not accept, and the others later; a record
+   * that is left alone is the one that the store does not accept.
+   */
+  private void invalid(List<PendingWrite> batch) {
+    failedAttempts = 0;
+    if (batch.size() == 1) {
+      logInvalid(batch.getFirst().keyedRecord, "not-accepted");
+      finish(batch, WriteResult.INVALID);
+      return;
+    }
+    int half = batch.size() / 2;
+    pending.addAll(0, batch.subList(half, batch.size()));
+    List<PendingWrite> firstHalf = List.copyOf(batch.subList(0, half));
+    inFlight = firstHalf;
+    append(firstHalf);
+  }
+
+  private void logInvalid(KeyedRecord refused, String cause) {
+    byte @Nullable [] value = refused.value();
+    events
+        .event("record-refused")
+        .with("topic", topic)
+        .with("key", refused.key())
+        .with("bytes", value == null ? 0 : value.length)
+        .with("cause", cause)
+        .write();
+  }
+
   private void outOfSequence(List<PendingWrite> batch, OutOfSequence mismatch) {
     events
         .event("writer-out-of-sequence")
--- a/src/test/java/io/dragonflyturn/internal/dispatch/DispatchFixture.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/DispatchFixture.java
@@ -10,6 +10,7 @@
 import io.dragonflyturn.internal.fleet.WorkerGateway;
 import io.dragonflyturn.internal.fleet.WorkerRegistration;
 import io.dragonflyturn.internal.ledger.AppendId;
+import io.dragonflyturn.internal.ledger.AppendLimits;
 import io.dragonflyturn.internal.ledger.AppendOutcome;
 import io.dragonflyturn.internal.ledger.KeyedRecord;
 import io.dragonflyturn.internal.ledger.RecordStore;
@@ -274,6 +275,11 @@
       this.store = store;
     }
 
+    @Override
+    public AppendLimits limits() {
+      return store.limits();
+    }
+
     @Override
     public CompletableFuture<AppendOutcome> append(
         String topic, AppendId position, OptionalLong expectedEnd, List<KeyedRecord> records) {
--- a/src/test/java/io/dragonflyturn/internal/dispatch/FakeRecordStore.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/FakeRecordStore.java
@@ -1,6 +1,7 @@
 package io.dragonflyturn.internal.dispatch;
 
 import io.dragonflyturn.internal.ledger.AppendId;
+import io.dragonflyturn.internal.ledger.AppendLimits;
 import io.dragonflyturn.internal.ledger.AppendOutcome;
 import io.dragonflyturn.internal.ledger.KeyedRecord;
 import io.dragonflyturn.internal.ledger.RecordStore;
@@ -20,6 +21,7 @@
  */
 final class FakeRecordStore implements RecordStore {
   private static final long CALM_ANSWER_DELAY_MILLIS = 4;
+  private static final int CALL_BYTES = 2_097_152;
 
   private final ManualLoop loop;
   private final Map<String, List<KeyedRecord>> topics = new HashMap<>();
@@ -29,6 +31,8 @@
   private boolean down;
   private int answersToLose;
   private long answerDelayMillis = CALM_ANSWER_DELAY_MILLIS;
+  private AppendLimits limits = new AppendLimits(262_144, CALL_BYTES);
+  private AppendLimits acceptedLimits = limits;
 
   FakeRecordStore(ManualLoop loop) {
     this.loop = loop;
@@ -38,6 +42,17 @@
     down = newDown;
   }
 
+  /** Sets how long a record may be. */
+  void setRecordBytes(int bytes) {
+    limits = new AppendLimits(bytes, CALL_BYTES);
+    acceptedLimits = limits;
+  }
+
+  /** Sets how long a record may be, other than the limit that the store names. */
+  void setAcceptedRecordBytes(int bytes) {
+    acceptedLimits = new AppendLimits(bytes, CALL_BYTES);
+  }
+
   /** Delays every answer by the given time. */
   void setAnswerDelayMillis(long millis) {
     answerDelayMillis = millis;
@@ -48,6 +63,11 @@
     answersToLose = appends;
   }
 
+  @Override
+  public AppendLimits limits() {
+    return limits;
+  }
+
   List<KeyedRecord> records(String topic) {
     return topics.computeIfAbsent(topic, name -> new ArrayList<>());
   }
@@ -81,6 +101,9 @@
     if (earlier != null) {
       return earlier;
     }
+    if (!records.stream().allMatch(acceptedLimits::accept)) {
+      return new AppendOutcome.Invalid();
+    }
     if (expectedEnd.isPresent() && expectedEnd.getAsLong() != log.size()) {
       return new AppendOutcome.EndOffsetMismatch(log.size());
     }
--- a/src/test/java/io/dragonflyturn/internal/intake/JobRequestHandlerTest.java
+++ b/src/test/java/io/dragonflyturn/internal/intake/JobRequestHandlerTest.java
@@ -83,6 +83,25 @@
     assertThat(submit("key")).isInstanceOf(CallerAnswer.Unavailable.class);
   }
 
+  @Test
+  void should_reject_a_job_that_is_too_long_to_be_stored_at_once() throws Exception {
+    store.outcome = new AppendOutcome.Stored(0);
+    JobContent content = new JobContent("x".repeat(2_000), CONTENT.steps(), CONTENT.recurrence());
+
+    CallerAnswer answer =
+        answerOf(handler -> handler.answer(new CallerCall.Submit(request("key"), ID, content)));
+
+    assertThat(answer).isInstanceOf(CallerAnswer.Malformed.class);
+    assertThat(store.appends).isZero();
+  }
+
+  @Test
+  void should_refuse_a_job_that_the_store_does_not_accept() throws Exception {
+    store.outcome = new AppendOutcome.Invalid();
+
+    assertThat(submit("key")).isInstanceOf(CallerAnswer.Unavailable.class);
+  }
+
   @Test
   void should_report_an_unknown_outcome_when_a_job_may_be_stored() throws Exception {
     store.outcome = new AppendOutcome.Unknown();
--- a/src/test/java/io/dragonflyturn/internal/ledger/SilentRecordStore.java
+++ b/src/test/java/io/dragonflyturn/internal/ledger/SilentRecordStore.java
@@ -7,6 +7,11 @@
 
 /** A store that never answers. Tests override the calls that matter to them. */
 public class SilentRecordStore implements RecordStore {
+  @Override
+  public AppendLimits limits() {
+    return new AppendLimits(1_000, 4_000);
+  }
+
   @Override
   public CompletableFuture<AppendOutcome> append(
       String topic, AppendId appendId, OptionalLong end, List<KeyedRecord> records) {
