Store members of a wide gang on the same worker together

Cause: the record of a run names worker and incarnation once for each member, so it grows with the members: the widest gang that is accepted, 20,000, needs about 400 KB on workers with names of eight letters, against 262,144 bytes.

Why it works: the planner fills one worker after the other, so successive members share their placement. In records of more than 512 members such a placement is stored once with the number of its members, under a version number where earlier builds expect a list.

--- a/src/main/java/io/dragonflyturn/internal/workload/WorkloadCodec.java
+++ b/src/main/java/io/dragonflyturn/internal/workload/WorkloadCodec.java
@@ -4,14 +4,26 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
+import org.msgpack.value.ValueType;
 
 /** Encodes jobs and runs as MessagePack for storage, and decodes them. */
 public final class WorkloadCodec {
+  /**
+   * The number of members up to which each placement is stored by itself, which all builds can
+   * read. The record of a wider gang would be too long for the store, so that it has another
+   * format.
+   */
+  private static final int MAXIMUM_SINGLE_PLACEMENTS = 512;
+
+  /** The version of the format in which members on the same worker share one placement. */
+  private static final int GROUPED_PLACEMENTS_VERSION = 2;
+
   private WorkloadCodec() {}
 
   /** Encodes a submitted job. */
@@ -57,10 +69,11 @@
           packer.packInt(record.phase().ordinal());
           packer.packInt(record.failures());
           packer.packString(record.checkpoint());
-          packer.packArrayHeader(record.members().size());
-          for (Placement member : record.members()) {
-            packer.packString(member.worker());
-            packer.packLong(member.incarnation());
+          if (record.members().size() <= MAXIMUM_SINGLE_PLACEMENTS) {
+            packSinglePlacements(packer, record.members());
+          } else {
+            packer.packInt(GROUPED_PLACEMENTS_VERSION);
+            packGroupedPlacements(packer, record.members());
           }
         });
   }
@@ -75,9 +88,63 @@
                 RunRecord.Phase.values()[unpacker.unpackInt()],
                 unpacker.unpackInt(),
                 unpacker.unpackString(),
-                unpackList(
-                    unpacker,
-                    source -> new Placement(source.unpackString(), source.unpackLong()))));
+                unpackPlacements(unpacker)));
+  }
+
+  private static void packSinglePlacements(MessageBufferPacker packer, List<Placement> members)
+      throws IOException {
+    packer.packArrayHeader(members.size());
+    for (Placement member : members) {
+      packPlacement(packer, member);
+    }
+  }
+
+  /** Packs each placement that successive members share once, with the number of these members. */
+  private static void packGroupedPlacements(MessageBufferPacker packer, List<Placement> members)
+      throws IOException {
+    List<PlacementGroup> groups = new ArrayList<>();
+    for (Placement member : members) {
+      PlacementGroup last = groups.isEmpty() ? null : groups.getLast();
+      if (last != null && last.placement.equals(member)) {
+        groups.set(groups.size() - 1, new PlacementGroup(member, last.members + 1));
+      } else {
+        groups.add(new PlacementGroup(member, 1));
+      }
+    }
+    packer.packArrayHeader(groups.size());
+    for (PlacementGroup group : groups) {
+      packPlacement(packer, group.placement);
+      packer.packInt(group.members);
+    }
+  }
+
+  private static void packPlacement(MessageBufferPacker packer, Placement placement)
+      throws IOException {
+    packer.packString(placement.worker());
+    packer.packLong(placement.incarnation());
+  }
+
+  private static List<Placement> unpackPlacements(MessageUnpacker unpacker) throws IOException {
+    if (unpacker.getNextFormat().getValueType() == ValueType.ARRAY) {
+      return unpackList(unpacker, WorkloadCodec::unpackPlacement);
+    }
+    int version = unpacker.unpackInt();
+    if (version != GROUPED_PLACEMENTS_VERSION) {
+      throw new IOException("Unknown version of placements: " + version);
+    }
+    List<Placement> members = new ArrayList<>();
+    for (PlacementGroup group : unpackList(unpacker, WorkloadCodec::unpackPlacementGroup)) {
+      members.addAll(Collections.nCopies(group.members, group.placement));
+    }
+    return members;
+  }
+
+  private static PlacementGroup unpackPlacementGroup(MessageUnpacker unpacker) throws IOException {
+    return new PlacementGroup(unpackPlacement(unpacker), unpacker.unpackInt());
+  }
+
+  private static Placement unpackPlacement(MessageUnpacker unpacker) throws IOException {
+    return new Placement(unpacker.unpackString(), unpacker.unpackLong());
   }
 
   /** Encodes a job state. */
@@ -185,6 +252,9 @@
     return values;
   }
 
+  /** A placement that a number of successive members share. */
+  private record PlacementGroup(Placement placement, int members) {}
+
   /** Packs a value. */
   @FunctionalInterface
   public interface PackAction {
