Send the stop orders of a worker before its start orders

Cause: the orders to a worker were sent in the order in which they came, four at a time, so a stop waited for all starts before it.

Why it works: what is to be stopped holds resources and works until the order arrives, so a worker gets its stops first. An order is still created when it is sent, so a start whose run is being stopped is not sent at all.

--- a/src/main/java/io/dragonflyturn/internal/dispatch/OrderQueue.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/OrderQueue.java
@@ -17,6 +17,9 @@
  * Sends orders to workers, within {@link OrderConcurrency} and a limit per worker. Workers with
  * waiting orders take turns. Not thread-safe; used on the event loop only.
  *
+ * <p>A worker gets its stop orders before its start orders: a run that is to be stopped goes on,
+ * and keeps its resources, until the order arrives, while a start only begins later.
+ *
  * <p>An order is created only when it is sent, so that it is based on the state and the lease of
  * that moment.
  */
@@ -49,34 +52,51 @@
   /** The orders to one worker. */
   private static final class WorkerOrders {
     private final String worker;
-    private final Deque<Waiting> waiting = new ArrayDeque<>();
+    private final Deque<Waiting> stops = new ArrayDeque<>();
+    private final Deque<Waiting> starts = new ArrayDeque<>();
     private int unanswered;
 
     WorkerOrders(String worker) {
       this.worker = worker;
     }
+
+    boolean hasWaiting() {
+      return !stops.isEmpty() || !starts.isEmpty();
+    }
+
+    Waiting removeNext() {
+      return stops.isEmpty() ? starts.remove() : stops.remove();
+    }
   }
 
   /**
-   * Sends an order to a worker as soon as the limits allow it.
+   * Sends a start order to a worker as soon as the limits allow it.
    *
    * @param onAnswer receives the answer on the event loop; not called if the order is no longer
    *     needed
    */
-  void submit(String worker, Sender sender, Consumer<OrderAnswer> onAnswer) {
+  void submitStart(String worker, Sender sender, Consumer<OrderAnswer> onAnswer) {
+    WorkerOrders orders = ordersByWorker.computeIfAbsent(worker, WorkerOrders::new);
+    orders.starts.add(new Waiting(sender, onAnswer));
+    updateTurn(orders);
+    sendWaiting();
+  }
+
+  /** Sends a stop order to a worker, as {@link #submitStart} does, but before its start orders. */
+  void submitStop(String worker, Sender sender, Consumer<OrderAnswer> onAnswer) {
     WorkerOrders orders = ordersByWorker.computeIfAbsent(worker, WorkerOrders::new);
-    orders.waiting.add(new Waiting(sender, onAnswer));
+    orders.stops.add(new Waiting(sender, onAnswer));
     updateTurn(orders);
     sendWaiting();
   }
 
   private void updateTurn(WorkerOrders orders) {
-    if (!orders.waiting.isEmpty() && orders.unanswered < MAXIMUM_ORDERS_PER_WORKER) {
+    if (orders.hasWaiting() && orders.unanswered < MAXIMUM_ORDERS_PER_WORKER) {
       turns.add(orders);
     } else {
       turns.remove(orders);
     }
-    if (orders.waiting.isEmpty() && orders.unanswered == 0) {
+    if (!orders.hasWaiting() && orders.unanswered == 0) {
       ordersByWorker.remove(orders.worker, orders);
     }
   }
@@ -84,7 +104,7 @@
   private void sendWaiting() {
     while (unanswered < concurrency.limit() && !turns.isEmpty()) {
       WorkerOrders orders = turns.removeFirst();
-      send(orders, orders.waiting.remove());
+      send(orders, orders.removeNext());
       updateTurn(orders);
     }
   }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
@@ -245,7 +245,7 @@
   }
 
   private void sendStart(Member member) {
-    orders.submit(
+    orders.submitStart(
         member.session().id(), () -> orderStart(member), answer -> startAnswered(member, answer));
   }
 
@@ -375,7 +375,7 @@
   }
 
   private void sendStop(Member member) {
-    orders.submit(
+    orders.submitStop(
         member.session().id(), () -> orderStop(member), answer -> stopAnswered(member, answer));
   }
 
