Give up the start of a gang before its members stop waiting

What callers saw: a gang with more members than can be started while the first of them wait was started again and again, for ever. Each time its orders and those of its stops held up the other orders to its worker, and its first members ended alone (GANG).

Cause: the bound on the wait was read from the settings and not used. A run of a gang that ended alone was placed again at once, without a count and without a pause.

Why it works: GangStartDeadline stops a run whose start orders have not all been sent when four fifths of the wait are over, early enough for the stop to arrive. A start counts as too wide only if the gang alone needed more orders than the leader sent to all workers in that time, none of its orders was repeated, and the process was not paused; three such starts end the job as infeasible. The whole of a gang is resolved in linear time: members were counted anew for each that ended.

--- a/src/main/java/io/dragonflyturn/internal/dispatch/ActiveRun.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/ActiveRun.java
@@ -11,6 +11,8 @@
   private final List<Member> members = new ArrayList<>();
   private boolean aborting;
   private boolean failed;
+  private boolean startBegun;
+  private int resolvedMembers;
 
   ActiveRun(WorkUnit unit, int number) {
     this.unit = unit;
@@ -57,8 +59,19 @@
     return failed;
   }
 
+  /** Marks that a start order has been sent. Returns false if this was not the first one. */
+  boolean markStartBegun() {
+    boolean first = !startBegun;
+    startBegun = true;
+    return first;
+  }
+
+  void countResolvedMember() {
+    resolvedMembers++;
+  }
+
   boolean isResolved() {
-    return members.stream().allMatch(Member::isResolved);
+    return resolvedMembers == members.size();
   }
 
   List<Placement> placements() {
--- a/src/main/java/io/dragonflyturn/internal/dispatch/Member.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/Member.java
@@ -88,7 +88,10 @@
   }
 
   void resolve() {
-    state = State.RESOLVED;
+    if (state != State.RESOLVED) {
+      state = State.RESOLVED;
+      run.countResolvedMember();
+    }
   }
 
   void markSent() {
--- a/src/main/java/io/dragonflyturn/internal/dispatch/OrderQueue.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/OrderQueue.java
@@ -34,6 +34,7 @@
   private final SequencedSet<WorkerOrders> turns = new LinkedHashSet<>();
 
   private int unanswered;
+  private long sentOrders;
 
   OrderQueue(DispatchContext context) {
     this.context = context;
@@ -90,6 +91,11 @@
     sendWaiting();
   }
 
+  /** Returns the number of orders that have been sent to all workers so far. */
+  long sentOrders() {
+    return sentOrders;
+  }
+
   private void updateTurn(WorkerOrders orders) {
     if (orders.hasWaiting() && orders.unanswered < MAXIMUM_ORDERS_PER_WORKER) {
       turns.add(orders);
@@ -115,6 +121,7 @@
       return;
     }
     long sentMillis = context.nowMillis();
+    sentOrders++;
     unanswered++;
     orders.unanswered++;
     answer.whenCompleteAsync(
--- a/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
@@ -37,6 +37,7 @@
   private final WorkerHealth health;
   private final Listener listener;
   private final OrderQueue orders;
+  private final GangStartDeadline gangStartDeadline;
   private final RunEvents events;
   private CompletableFuture<WriteResult> lastWrite =
       CompletableFuture.completedFuture(WriteResult.STORED);
@@ -56,6 +57,7 @@
     this.health = health;
     this.listener = listener;
     this.orders = new OrderQueue(context);
+    this.gangStartDeadline = new GangStartDeadline(context, orders, this, listener);
     this.events = new RunEvents(context.events(), term);
   }
 
@@ -63,6 +65,10 @@
     closed = true;
   }
 
+  boolean isClosed() {
+    return closed;
+  }
+
   /**
    * Places a unit on workers, one for each task, and starts its members once the placement is
    * stored. A unit whose placement is too long to be stored is never started.
@@ -271,6 +277,7 @@
     }
     WorkerSession session = member.session();
     member.markSent();
+    gangStartDeadline.startOrderSent(run);
     context.metrics().startsOrdered().inc();
     long leaseUntilMillis =
         session.grantLease(leadershipLease.workerLeaseEndMillis(), context.nowMillis());
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkUnit.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkUnit.java
@@ -37,6 +37,7 @@
   private boolean done;
   private @Nullable ActiveRun run;
   private long readySinceMillis;
+  private int slowStarts;
   private int postponements;
   private long postponedUntilMillis;
 
@@ -148,6 +149,15 @@
     }
   }
 
+  /** Counts a start that took too long because of the number of its own orders. */
+  void countSlowStart() {
+    slowStarts++;
+  }
+
+  int slowStarts() {
+    return slowStarts;
+  }
+
   /** Keeps the unit from being started for a while, which doubles each time. */
   void postpone(long nowMillis) {
     int doublings = Math.min(postponements, MAXIMUM_POSTPONEMENT_DOUBLINGS);
--- a/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
@@ -35,12 +35,15 @@
   private static final long FAILURE_DELAY_MILLIS = 40;
   private static final long ORDER_TIMEOUT_MILLIS = 500;
   private static final int LISTED_ENDS = 500;
+  private static final long GANG_WAIT_MILLIS = 3_000;
 
   private final ManualLoop loop;
   private final Map<String, Worker> workers = new LinkedHashMap<>();
   private final Set<String> disconnected = new HashSet<>();
   private final Set<String> failing = new HashSet<>();
   private final Set<String> failingAllRuns = new HashSet<>();
+  private final Map<String, Integer> gangSizes = new HashMap<>();
+  private final Set<String> assembledGangs = new HashSet<>();
   private final List<String> violations = new ArrayList<>();
   private final Map<String, Integer> starts = new HashMap<>();
   private long workMillis = 3_000;
@@ -52,6 +55,7 @@
   private long sendMillis;
   private long sendingUntilMillis;
   private int unansweredOrders;
+  private int runsAlone;
 
   FakeWorkers(ManualLoop loop) {
     this.loop = loop;
@@ -138,6 +142,17 @@
     workers.put(id, new Worker(id, worker(id).incarnation + 1));
   }
 
+  /** Makes the tasks of a step wait for each other, and end if they wait too long. */
+  void setGang(String stepKey, int tasks) {
+    gangSizes.put(stepKey, tasks);
+  }
+
+  /** Returns the number of runs that ended because the rest of their gang had not started. */
+  int runsAlone() {
+    workers.values().forEach(Worker::expire);
+    return runsAlone;
+  }
+
   /** Makes the worker of a running task lose the run, without an end. */
   void forgetRun(String task) {
     worker(workerOf(task)).running.remove(task);
@@ -333,6 +348,7 @@
       long failureMillis = fails ? clock() + FAILURE_DELAY_MILLIS : Long.MAX_VALUE;
       running.put(order.task(), new Run(order.runNumber(), completionMillis, failureMillis));
       starts.merge(order.task(), 1, Integer::sum);
+      recordAssembly(order.task(), order.runNumber());
       return new OrderAnswer.Taken(clock());
     }
 
@@ -366,19 +382,63 @@
 
     void expire() {
       for (Map.Entry<String, Run> entry : Map.copyOf(running).entrySet()) {
+        if (!running.containsKey(entry.getKey())) {
+          continue;
+        }
         if (entry.getValue().failureMillis <= clock()) {
           end(entry.getKey(), EndKind.FAILED);
         } else if (entry.getValue().completionMillis <= Math.min(clock(), leaseUntilMillis)) {
           end(entry.getKey(), EndKind.DONE);
         } else if (leaseUntilMillis <= clock()) {
           end(entry.getKey(), EndKind.LAPSED);
+        } else if (isAlone(entry.getKey(), entry.getValue())) {
+          runsAlone++;
+          end(entry.getKey(), EndKind.ALONE);
         }
       }
     }
 
+    /** Ends the other members of a gang when one of them ends without having completed. */
+    private void breakGang(String task, EndKind kind) {
+      String stepKey = task.substring(0, task.lastIndexOf('.'));
+      if (!gangSizes.containsKey(stepKey) || kind == EndKind.DONE || kind == EndKind.BROKEN) {
+        return;
+      }
+      for (Worker worker : workers.values()) {
+        List.copyOf(worker.running.keySet()).stream()
+            .filter(other -> other.startsWith(stepKey + '.'))
+            .forEach(other -> worker.end(other, EndKind.BROKEN));
+      }
+    }
+
+    /** Records that a gang is at work once the last of its members has started. */
+    private void recordAssembly(String task, int runNumber) {
+      String stepKey = task.substring(0, task.lastIndexOf('.'));
+      Integer gangSize = gangSizes.get(stepKey);
+      if (gangSize == null) {
+        return;
+      }
+      int present = 0;
+      for (Worker worker : workers.values()) {
+        present +=
+            worker.running.keySet().stream().filter(each -> each.startsWith(stepKey + '.')).count();
+      }
+      if (present == gangSize) {
+        assembledGangs.add(stepKey + '/' + runNumber);
+      }
+    }
+
+    private boolean isAlone(String task, Run run) {
+      String stepKey = task.substring(0, task.lastIndexOf('.'));
+      return gangSizes.containsKey(stepKey)
+          && !assembledGangs.contains(stepKey + '/' + run.number)
+          && clock() > run.startMillis + GANG_WAIT_MILLIS;
+    }
+
     private void end(String task, EndKind kind) {
       Run run = Objects.requireNonNull(running.remove(task));
       lastEndNumber++;
+      breakGang(task, kind);
       stoppedRuns += kind == EndKind.STOPPED ? 1 : 0;
       ended.add(new EndedTask(lastEndNumber, task, run.number, kind, ""));
     }
@@ -387,6 +447,7 @@
   /** A run on a worker. */
   private final class Run {
     private final int number;
+    private final long startMillis = clock();
     private final long completionMillis;
     private final long failureMillis;
 
