Test that a checkpoint of any length stops no other job

A worker may name a checkpoint of 300,000 bytes, which would make the record of its run too long for the store.

--- a/src/test/java/io/dragonflyturn/internal/dispatch/DispatchFixture.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/DispatchFixture.java
@@ -200,6 +200,11 @@
         1, TASK, estimateMillis, List.of(), false, false, false, "", "", 0, false, false);
   }
 
+  static StepSpecification checkpointedTask() {
+    return new StepSpecification(
+        1, TASK, 3_000, List.of(), true, false, false, "", "", 0, false, false);
+  }
+
   static StepSpecification gang(int replicas) {
     return step(replicas, true, TASK);
   }
--- a/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
@@ -56,6 +56,7 @@
   private long sendingUntilMillis;
   private int unansweredOrders;
   private int runsAlone;
+  private String checkpoint = "";
 
   FakeWorkers(ManualLoop loop) {
     this.loop = loop;
@@ -142,6 +143,11 @@
     workers.put(id, new Worker(id, worker(id).incarnation + 1));
   }
 
+  /** Sets the checkpoint that workers name for all runs. */
+  void setCheckpoint(String newCheckpoint) {
+    checkpoint = newCheckpoint;
+  }
+
   /** Makes the tasks of a step wait for each other, and end if they wait too long. */
   void setGang(String stepKey, int tasks) {
     gangSizes.put(stepKey, tasks);
@@ -440,7 +446,7 @@
       lastEndNumber++;
       breakGang(task, kind);
       stoppedRuns += kind == EndKind.STOPPED ? 1 : 0;
-      ended.add(new EndedTask(lastEndNumber, task, run.number, kind, ""));
+      ended.add(new EndedTask(lastEndNumber, task, run.number, kind, checkpoint));
     }
   }
 
@@ -460,7 +466,7 @@
     RunningTask listed(String task) {
       long remainingMillis = Math.min(completionMillis - clock(), workMillis);
       return new RunningTask(
-          task, number, "", (int) Math.max(0, 100 - remainingMillis * 100 / workMillis));
+          task, number, checkpoint, (int) Math.max(0, 100 - remainingMillis * 100 / workMillis));
     }
   }
 }
--- a/src/test/java/io/dragonflyturn/internal/dispatch/UnstorableGangTest.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/UnstorableGangTest.java
@@ -79,6 +79,22 @@
     assertThat(fixture.workers.starts("small.0.0.0")).isEqualTo(1);
   }
 
+  /** A worker may name checkpoints of any length, and each is part of the record of its run. */
+  @Test
+  void should_run_other_jobs_beside_a_task_with_a_checkpoint_that_is_too_long_to_be_stored() {
+    fixture.workers.setCheckpoint("x".repeat(300_000));
+    fixture.submit("long", 1, DispatchFixture.checkpointedTask());
+    fixture.advance(1_000);
+    fixture.drain(fixture.workers.workerOf("long.0.0.0"), 100);
+    fixture.advance(500);
+
+    fixture.submit("small", 1, DispatchFixture.tasks(4));
+    fixture.advance(8_000);
+
+    assertThat(fixture.leader().state("small")).isEqualTo(JobState.COMPLETED);
+    assertThat(fixture.leader().state("long")).isEqualTo(JobState.COMPLETED);
+  }
+
   @Test
   void should_run_a_gang_whose_placement_can_be_stored() {
     fixture.submit("wide", 0, DispatchFixture.step(WORKERS, true, WHOLE_WORKER));
