Count the runs of a step once a round, not for each waiting task

Cause: for each waiting task and each worker the planner counted the members of all tasks of its step, so one round took time that grows with the square of the tasks, on the event loop that also writes the leader's heartbeats. Finding the run to displace built the keys of all units of its job as well.

Why it works: the members are counted in one pass over the step, once a round; a run is found by the index in its key.

--- a/src/main/java/io/dragonflyturn/internal/dispatch/ActiveJob.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/ActiveJob.java
@@ -6,6 +6,7 @@
 import io.dragonflyturn.internal.workload.SubmittedJob;
 import java.util.ArrayList;
 import java.util.EnumSet;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -174,30 +175,28 @@
     return units().stream().allMatch(unit -> unit.run() == null);
   }
 
-  /** Returns the run of a unit; null if it has none. */
-  @Nullable ActiveRun runOf(String unitKey) {
-    for (WorkUnit unit : units()) {
-      if (unit.key().equals(unitKey)) {
-        return unit.run();
-      }
+  /** Returns the run of a unit; null if there is no such unit, or if it has none. */
+  @Nullable ActiveRun runOf(UnitKey key) {
+    List<List<WorkUnit>> unitsByStep = unitsByOccurrence.get(key.occurrence());
+    if (unitsByStep == null || key.stepIndex() >= unitsByStep.size()) {
+      return null;
     }
-    return null;
+    List<WorkUnit> units = unitsByStep.get(key.stepIndex());
+    int index = Math.max(0, key.taskIndex());
+    return index < units.size() ? units.get(index).run() : null;
   }
 
-  /** Returns the number of unresolved members of a step on a worker. */
-  int countRuns(String worker, int occurrence, int stepIndex) {
-    List<List<WorkUnit>> unitsByStep = unitsByOccurrence.get(occurrence);
-    if (unitsByStep == null) {
-      return 0;
-    }
-    int runs = 0;
-    for (WorkUnit unit : unitsByStep.get(stepIndex)) {
+  /** Returns the number of unresolved members of a step on each worker that has any. */
+  Map<String, Integer> runsByWorker(int occurrence, int stepIndex) {
+    Map<String, Integer> runs = new HashMap<>();
+    List<List<WorkUnit>> unitsByStep = unitsByOccurrence.getOrDefault(occurrence, List.of());
+    List<WorkUnit> units = unitsByStep.isEmpty() ? List.of() : unitsByStep.get(stepIndex);
+    for (WorkUnit unit : units) {
       ActiveRun run = unit.run();
-      if (run == null) {
-        continue;
-      }
-      for (Member member : run.members()) {
-        runs += !member.isResolved() && member.session().id().equals(worker) ? 1 : 0;
+      for (Member member : run == null ? List.<Member>of() : run.members()) {
+        if (!member.isResolved()) {
+          runs.merge(member.session().id(), 1, Integer::sum);
+        }
       }
     }
     return runs;
--- a/src/main/java/io/dragonflyturn/internal/dispatch/PlanningRound.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/PlanningRound.java
@@ -23,6 +23,7 @@
   private final WorkerHealth health;
   private final UrgentHeadroom headroom;
   private final UrgencyRanks ranks;
+  private final Map<String, Map<String, Integer>> runsByStep = new HashMap<>();
 
   PlanningRound(
       DispatchContext context,
@@ -100,14 +101,15 @@
         unit.isOnLastAttempt());
   }
 
+  /**
+   * Returns the runs of a step on each worker, which are counted once a round for all its units.
+   */
   private Map<String, Integer> stepRunsByWorker(WorkUnit unit) {
-    Map<String, Integer> runs = new HashMap<>();
-    if (unit.step().maximumPerWorker() > 0) {
-      for (String worker : sessions.keySet()) {
-        runs.put(worker, unit.job().countRuns(worker, unit.occurrence(), unit.stepIndex()));
-      }
+    if (unit.step().maximumPerWorker() == 0) {
+      return Map.of();
     }
-    return runs;
+    return runsByStep.computeIfAbsent(
+        unit.stepKey(), key -> unit.job().runsByWorker(unit.occurrence(), unit.stepIndex()));
   }
 
   private List<WorkerSnapshot> snapshots() {
