--- a/src/main/java/io/dragonflyturn/internal/dispatch/ActiveRun.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/ActiveRun.java
@@ -12,6 +12,7 @@
   private boolean aborting;
   private boolean failed;
   private boolean startBegun;
+  private boolean startDisturbed;
   private int resolvedMembers;
 
   ActiveRun(WorkUnit unit, int number) {
@@ -66,6 +67,15 @@
     return first;
   }
 
+  /** Marks that a start order was not taken, or was answered slowly. */
+  void markStartDisturbed() {
+    startDisturbed = true;
+  }
+
+  boolean isStartDisturbed() {
+    return startDisturbed;
+  }
+
   void countResolvedMember() {
     resolvedMembers++;
   }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/GangStartDeadline.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/GangStartDeadline.java
@@ -1,5 +1,6 @@
 package io.dragonflyturn.internal.dispatch;
 
+import io.dragonflyturn.internal.fleet.OrderAnswer;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -11,8 +12,9 @@
  * So its run is stopped a little earlier, and the next one begins after a pause that doubles.
  *
  * <p>A gang is infeasible if several of its starts have taken too long and each needed more orders
- * than the leader could send in that time to all workers together. Starts during which an order had
- * to be repeated, or this process was paused, do not count.
+ * than the leader could send in that time to all workers together. A start does not count if one of
+ * its orders was not taken or was answered slowly, or if this process was paused: then the gang may
+ * be started in time later, or on other workers.
  */
 final class GangStartDeadline {
   /**
@@ -24,6 +26,9 @@
   /** How late the check of a deadline may be before this process counts as paused. */
   private static final long PAUSE_MILLIS = 300;
 
+  /** The time of an answer above which a worker, or this process, counts as slowed. */
+  private static final long SLOW_ANSWER_MILLIS = 100;
+
   private static final int MAXIMUM_SLOW_STARTS = 3;
 
   private final DispatchContext context;
@@ -55,6 +60,14 @@
             TimeUnit.MILLISECONDS);
   }
 
+  /** Records how a worker answered a start order. */
+  void startOrderAnswered(Member member, OrderAnswer answer) {
+    boolean slow = context.nowMillis() - member.sentMillis() > SLOW_ANSWER_MILLIS;
+    if (slow || !(answer instanceof OrderAnswer.Taken)) {
+      member.run().markStartDisturbed();
+    }
+  }
+
   private void check(ActiveRun run, long deadlineMillis, long sentOrders) {
     boolean allOrdersSent =
         run.members().stream().noneMatch(member -> member.state() == Member.State.PLACED);
@@ -64,8 +77,7 @@
     WorkUnit unit = run.unit();
     unit.postpone(context.nowMillis());
     boolean paused = context.nowMillis() > deadlineMillis + PAUSE_MILLIS;
-    boolean repeated = run.members().stream().anyMatch(member -> member.startAttempts() > 1);
-    if (!paused && !repeated && sentOrders < run.members().size()) {
+    if (!paused && !run.isStartDisturbed() && sentOrders < run.members().size()) {
       unit.countSlowStart();
     }
     driver.abort(run, "gang-start-too-slow");
--- a/src/main/java/io/dragonflyturn/internal/dispatch/Member.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/Member.java
@@ -29,6 +29,7 @@
   private State state;
   private int startAttempts;
   private boolean stopRequested;
+  private long sentMillis;
   private long confirmedMillis;
   private long earlierRunTimeMillis;
   private long stopAcceptedMillis;
@@ -94,11 +95,17 @@
     }
   }
 
-  void markSent() {
+  void markSent(long nowMillis) {
     state = State.SENT;
+    sentMillis = nowMillis;
     startAttempts++;
   }
 
+  /** Returns when the last start order was sent. */
+  long sentMillis() {
+    return sentMillis;
+  }
+
   int startAttempts() {
     return startAttempts;
   }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
@@ -276,7 +276,7 @@
       return null;
     }
     WorkerSession session = member.session();
-    member.markSent();
+    member.markSent(context.nowMillis());
     gangStartDeadline.startOrderSent(run);
     context.metrics().startsOrdered().inc();
     long leaseUntilMillis =
@@ -296,6 +296,7 @@
     if (closed || member.isResolved()) {
       return;
     }
+    gangStartDeadline.startOrderAnswered(member, answer);
     switch (answer) {
       case Taken taken -> confirmStart(member, taken);
       case Refused refused -> startRefused(member, refused.reason());
--- a/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
@@ -45,6 +45,7 @@
   private final Map<String, Integer> gangSizes = new HashMap<>();
   private final Set<String> assembledGangs = new HashSet<>();
   private final List<String> violations = new ArrayList<>();
+  private final Map<String, Long> slowAnswerMillis = new HashMap<>();
   private final Map<String, Integer> starts = new HashMap<>();
   private long workMillis = 3_000;
   private int answersToLose;
@@ -129,6 +130,11 @@
     sendMillis = millis;
   }
 
+  /** Sets how much longer a worker takes to answer an order. */
+  void slowDown(String id, long millis) {
+    slowAnswerMillis.put(id, millis);
+  }
+
   /** Makes polls of a worker fail with an exception instead of an answer. */
   void failPolls(String id) {
     failing.add(id);
@@ -260,7 +266,11 @@
       return answer;
     }
     sendingUntilMillis = Math.max(loop.millis(), sendingUntilMillis) + sendMillis;
-    long answerMillis = sendingUntilMillis - loop.millis() + ANSWER_DELAY_MILLIS;
+    long answerMillis =
+        sendingUntilMillis
+            - loop.millis()
+            + ANSWER_DELAY_MILLIS
+            + slowAnswerMillis.getOrDefault(id, 0L);
     loop.schedule(
         () -> answer.complete(action.apply(worker(id))), answerMillis, TimeUnit.MILLISECONDS);
     if (answerMillis > ORDER_TIMEOUT_MILLIS) {
--- a/src/test/java/io/dragonflyturn/internal/dispatch/WideGangTest.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/WideGangTest.java
@@ -83,6 +83,22 @@
     assertThat(fixture.workers.runsAlone()).isZero();
   }
 
+  /** On a worker that answers slowly, few members can be started in time; elsewhere all can. */
+  @Test
+  void should_not_fail_a_gang_that_is_started_late_because_a_worker_answers_slowly() {
+    fixture.workers.setSendMillis(1);
+    fixture.workers.slowDown("w1", 150);
+    submitGang("wide", WIDE);
+    fixture.advance(20_000);
+    final JobState stateWhileSlow = fixture.leader().state("wide");
+
+    fixture.workers.slowDown("w1", 0);
+    fixture.advance(45_000);
+
+    assertThat(stateWhileSlow).isNotEqualTo(JobState.FAILED);
+    assertThat(fixture.leader().state("wide")).isEqualTo(JobState.COMPLETED);
+  }
+
   private void submitGang(String job, int members) {
     fixture.workers.setGang(job + ".0.0", members);
     fixture.submit(job, 1, DispatchFixture.step(members, true, TINY_TASK));
