--- /dev/null
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/JobRestorer.java
@@ -0,0 +1,83 @@
+package io.dragonflyturn.internal.dispatch;
+
+import io.dragonflyturn.internal.dispatch.RunLoader.LoadedRuns;
+import io.dragonflyturn.internal.workload.RunRecord;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/** Restores the active jobs and their runs from what earlier leaders have stored. */
+final class JobRestorer {
+  private final DispatchContext context;
+  private final WorkerFleet fleet;
+  private final Map<String, ActiveJob> jobs;
+  private final RunDriver driver;
+
+  /**
+   * Creates a restorer.
+   *
+   * @param jobs the active jobs by identifier, to which it adds
+   */
+  JobRestorer(
+      DispatchContext context, WorkerFleet fleet, Map<String, ActiveJob> jobs, RunDriver driver) {
+    this.context = context;
+    this.fleet = fleet;
+    this.jobs = jobs;
+    this.driver = driver;
+  }
+
+  /** Restores all jobs of the directory that have not ended, and adopts the runs that may exist. */
+  void restore(LoadedRuns runs) {
+    context.directory().jobs().forEach(this::activateIfUnfinished);
+    runs.readable().forEach(this::restore);
+    runs.unreadableKeys().forEach(this::suspendJobOf);
+  }
+
+  /** Adds a job to the active jobs unless it has ended. */
+  void activateIfUnfinished(JobEntry entry) {
+    if (!entry.recordedState().isTerminal()) {
+      jobs.put(entry.submission().id(), new ActiveJob(entry, context.nowMillis()));
+    }
+  }
+
+  private void restore(String key, RunRecord stored) {
+    UnitKey unitKey = UnitKey.parse(key);
+    if (unitKey == null) {
+      context.events().event("record-unreadable").with("key", key).write();
+      return;
+    }
+    ActiveJob job = jobs.get(unitKey.job());
+    if (job == null) {
+      job = restoreEnded(unitKey.job(), stored);
+    }
+    WorkUnit unit =
+        job == null
+            ? null
+            : job.restore(unitKey.occurrence(), unitKey.stepIndex(), unitKey.taskIndex(), stored);
+    if (unit == null) {
+      return;
+    }
+    if (stored.mayBeActive()) {
+      driver.adopt(unit, stored, stored.members().stream().map(fleet::adopt).toList());
+    }
+  }
+
+  /** Starts nothing of a job with an unreadable run, because that run may still be active. */
+  private void suspendJobOf(String key) {
+    UnitKey unitKey = UnitKey.parse(key);
+    if (unitKey != null && jobs.remove(unitKey.job()) != null) {
+      context.events().event("job-suspended").with("job", unitKey.job()).write();
+    }
+  }
+
+  /** Reactivates an ended job that may still have runs, so that these are stopped. */
+  private @Nullable ActiveJob restoreEnded(String id, RunRecord stored) {
+    JobEntry entry = context.directory().job(id);
+    if (entry == null || !stored.mayBeActive()) {
+      return null;
+    }
+    ActiveJob job = new ActiveJob(entry, context.nowMillis());
+    job.markEnding();
+    jobs.put(id, job);
+    return job;
+  }
+}
--- a/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
@@ -5,7 +5,6 @@
 import io.dragonflyturn.internal.ledger.SequencedWriter;
 import io.dragonflyturn.internal.ledger.WriteResult;
 import io.dragonflyturn.internal.workload.JobState;
-import io.dragonflyturn.internal.workload.RunRecord;
 import io.dragonflyturn.internal.workload.WorkloadCodec;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -36,6 +35,7 @@
   private final PlacementLoop placementLoop;
   private final Map<String, ActiveJob> jobs = new LinkedHashMap<>();
   private final RunLoader runLoader;
+  private final JobRestorer restorer;
   private @Nullable LoadedRuns loadedRuns;
   private boolean ready;
   private boolean leasesShortened;
@@ -70,6 +70,7 @@
     fleet = new WorkerFleet(context, startedMillis, driver, poller, this::requestRound);
     placementLoop = new PlacementLoop(context, term, runsWriter, fleet, jobs, health, driver);
     runLoader = new RunLoader(context, this::runsLoaded);
+    restorer = new JobRestorer(context, fleet, jobs, driver);
   }
 
   private SequencedWriter writer(String topic, long sequence) {
@@ -153,9 +154,7 @@
       return;
     }
     ready = true;
-    context.directory().jobs().forEach(this::activateIfUnfinished);
-    runs.readable().forEach(this::restore);
-    runs.unreadableKeys().forEach(this::suspendJobOf);
+    restorer.restore(runs);
     jobs.values().forEach(this::endIfCancelled);
     List.copyOf(jobs.values()).forEach(this::updateJob);
     context
@@ -171,54 +170,6 @@
     placementLoop.start();
   }
 
-  private void activateIfUnfinished(JobEntry entry) {
-    if (!entry.recordedState().isTerminal()) {
-      jobs.put(entry.submission().id(), new ActiveJob(entry, context.nowMillis()));
-    }
-  }
-
-  private void restore(String key, RunRecord stored) {
-    UnitKey unitKey = UnitKey.parse(key);
-    if (unitKey == null) {
-      context.events().event("record-unreadable").with("key", key).write();
-      return;
-    }
-    ActiveJob job = jobs.get(unitKey.job());
-    if (job == null) {
-      job = restoreEnded(unitKey.job(), stored);
-    }
-    WorkUnit unit =
-        job == null
-            ? null
-            : job.restore(unitKey.occurrence(), unitKey.stepIndex(), unitKey.taskIndex(), stored);
-    if (unit == null) {
-      return;
-    }
-    if (stored.mayBeActive()) {
-      driver.adopt(unit, stored, stored.members().stream().map(fleet::adopt).toList());
-    }
-  }
-
-  /** Starts nothing of a job with an unreadable run, because that run may still be active. */
-  private void suspendJobOf(String key) {
-    UnitKey unitKey = UnitKey.parse(key);
-    if (unitKey != null && jobs.remove(unitKey.job()) != null) {
-      context.events().event("job-suspended").with("job", unitKey.job()).write();
-    }
-  }
-
-  /** Reactivates an ended job that may still have runs, so that these are stopped. */
-  private @Nullable ActiveJob restoreEnded(String id, RunRecord stored) {
-    JobEntry entry = context.directory().job(id);
-    if (entry == null || !stored.mayBeActive()) {
-      return null;
-    }
-    ActiveJob job = new ActiveJob(entry, context.nowMillis());
-    job.markEnding();
-    jobs.put(id, job);
-    return job;
-  }
-
   private void endIfCancelled(ActiveJob job) {
     if (job.entry().isCancelled() || job.isEnding()) {
       stopJob(job, "job-cancelled");
@@ -227,7 +178,7 @@
 
   void submitted(JobEntry entry) {
     if (ready) {
-      activateIfUnfinished(entry);
+      restorer.activateIfUnfinished(entry);
       requestRound();
     }
   }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
@@ -7,7 +7,6 @@
 import io.dragonflyturn.internal.fleet.OrderAnswer.Taken;
 import io.dragonflyturn.internal.fleet.OrderAnswer.Unanswered;
 import io.dragonflyturn.internal.fleet.StartOrder;
-import io.dragonflyturn.internal.fleet.StopOrder;
 import io.dragonflyturn.internal.ledger.KeyedRecord;
 import io.dragonflyturn.internal.ledger.SequencedWriter;
 import io.dragonflyturn.internal.ledger.WriteResult;
@@ -19,15 +18,14 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Starts and stops runs on workers. It stores each placement before it sends a start order, repeats
- * orders until their effect is known, and stores the ends of runs.
+ * Starts runs on workers, and has them stopped. It stores each placement before it sends a start
+ * order, repeats orders until their effect is known, and stores the ends of runs.
  *
  * <p>A run is over only when every member is resolved: known to have ended, or certain never to
  * start. Until then, the unit is not placed elsewhere, and its resources stay allocated.
  */
 final class RunDriver {
   private static final long START_RETRY_DELAY_MILLIS = 200;
-  private static final long STOP_RETRY_DELAY_MILLIS = 300;
   private static final int MAXIMUM_START_ATTEMPTS = 3;
 
   private final DispatchContext context;
@@ -37,6 +35,7 @@
   private final WorkerHealth health;
   private final Listener listener;
   private final OrderQueue orders;
+  private final StopOrders stopOrders;
   private final GangStartDeadline gangStartDeadline;
   private final RunEvents events;
   private CompletableFuture<WriteResult> lastWrite =
@@ -56,9 +55,10 @@
     this.writer = writer;
     this.health = health;
     this.listener = listener;
+    this.events = new RunEvents(context.events(), term);
     this.orders = new OrderQueue(context);
+    this.stopOrders = new StopOrders(context, term, orders, events, this, listener);
     this.gangStartDeadline = new GangStartDeadline(context, orders, this, listener);
-    this.events = new RunEvents(context.events(), term);
   }
 
   void close() {
@@ -143,7 +143,7 @@
     }
     events.runStopped(run, cause);
     context.metrics().runsStopped().inc();
-    List.copyOf(run.members()).forEach(this::requestStop);
+    List.copyOf(run.members()).forEach(stopOrders::request);
   }
 
   /**
@@ -268,7 +268,7 @@
       abort(run, "failure-domain-out");
     }
     if (run.isAborting()) {
-      requestStop(member);
+      stopOrders.request(member);
       return null;
     }
     if (leadershipLease.hasExpired()) {
@@ -370,63 +370,6 @@
     }
   }
 
-  private void requestStop(Member member) {
-    if (member.isResolved() || member.isStopRequested()) {
-      return;
-    }
-    member.markStopRequested();
-    if (member.state() == State.PLACED) {
-      resolve(member, EndKind.NOT_STARTED, "");
-      return;
-    }
-    sendStop(member);
-  }
-
-  private void sendStop(Member member) {
-    orders.submitStop(
-        member.session().id(), () -> orderStop(member), answer -> stopAnswered(member, answer));
-  }
-
-  /** Sends a stop order. Returns a future of its answer; null if the member has ended. */
-  private @Nullable CompletableFuture<OrderAnswer> orderStop(Member member) {
-    if (closed || member.isResolved()) {
-      return null;
-    }
-    StopOrder order = new StopOrder(member.task(), member.run().number(), term);
-    return context.gateway().stop(member.session().registration(), order);
-  }
-
-  private void stopAnswered(Member member, OrderAnswer answer) {
-    if (closed || member.isResolved()) {
-      return;
-    }
-    if (answer instanceof Taken) {
-      member.markStopAccepted(context.nowMillis());
-      listener.memberActive(member);
-      return;
-    }
-    if (answer instanceof Refused refused && stopRefused(member, refused.reason())) {
-      return;
-    }
-    context
-        .eventLoop()
-        .schedule(() -> sendStop(member), STOP_RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
-  }
-
-  /** Handles a refused stop order. Returns whether the order need not be repeated. */
-  private boolean stopRefused(Member member, OrderAnswer.Reason reason) {
-    if (reason == OrderAnswer.Reason.FENCED) {
-      listener.fenced();
-      return true;
-    }
-    if (reason == OrderAnswer.Reason.OTHER_LIFE) {
-      resolve(member, EndKind.LOST, "");
-      return true;
-    }
-    events.stopRefused(member, reason);
-    return false;
-  }
-
   /** Receives notifications about runs, on the event loop. */
   interface Listener {
     /**
