Test a worker with many ends and many runs

Both kinds of workers behave alike: the runs that go on stay, the ends are read once. The fake worker takes the progress of a run from that run's own length, which a test may change for later ones.

--- a/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
@@ -464,6 +464,7 @@
   private final class Run {
     private final int number;
     private final long startMillis = clock();
+    private final long totalMillis = workMillis;
     private final long completionMillis;
     private final long failureMillis;
 
@@ -474,9 +475,9 @@
     }
 
     RunningTask listed(String task) {
-      long remainingMillis = Math.min(completionMillis - clock(), workMillis);
+      long remainingMillis = Math.min(completionMillis - clock(), totalMillis);
       return new RunningTask(
-          task, number, checkpoint, (int) Math.max(0, 100 - remainingMillis * 100 / workMillis));
+          task, number, checkpoint, (int) Math.max(0, 100 - remainingMillis * 100 / totalMillis));
     }
   }
 }
--- a/src/test/java/io/dragonflyturn/internal/dispatch/ManyEndsTest.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/ManyEndsTest.java
@@ -13,9 +13,10 @@
 class ManyEndsTest {
   private static final int JOBS = 7;
   private static final int TASKS_OF_JOB = 86;
+  private static final int LONG_TASKS = 700;
   private static final long WORK_MILLIS = 4_000;
 
-  private static final Resources SMALL_TASK = new Resources(50, 64, 0);
+  private static final Resources SMALL_TASK = new Resources(20, 32, 0);
 
   private final DispatchFixture fixture = new DispatchFixture();
 
@@ -54,6 +55,26 @@
     assertAllCompleted();
   }
 
+  @Test
+  void should_keep_the_runs_of_a_worker_with_many_ends() {
+    fixture.workers.setWorkMillis(60_000);
+    fixture.submit("long", 1, DispatchFixture.step(LONG_TASKS, false, SMALL_TASK));
+    fixture.advance(2_000);
+    fixture.workers.setWorkMillis(WORK_MILLIS);
+    startTasks();
+    fixture.workers.disconnect("w1");
+    fixture.advance(1_500);
+
+    fixture.workers.reconnect("w1");
+    fixture.advance(8_000);
+
+    assertThat(tasksStartedAgain()).isEmpty();
+    assertAllCompleted();
+    for (int task = 0; task < LONG_TASKS; task++) {
+      assertThat(fixture.workers.starts("long.0.0." + task)).isEqualTo(1);
+    }
+  }
+
   @Test
   void should_read_the_ends_that_did_not_fit_into_a_list_without_a_pause() {
     startTasks();
@@ -86,7 +107,9 @@
       fixture.submit("job" + job, 1, DispatchFixture.step(TASKS_OF_JOB, false, SMALL_TASK));
     }
     fixture.advance(WORK_MILLIS - 100);
-    assertThat(fixture.workers.runningTasks()).hasSize(JOBS * TASKS_OF_JOB);
+    assertThat(fixture.workers.runningTasks())
+        .filteredOn(task -> task.startsWith("job"))
+        .hasSize(JOBS * TASKS_OF_JOB);
   }
 
   private List<String> tasksStartedAgain() {
