--- a/src/main/java/io/dragonflyturn/internal/dispatch/PlacementLoop.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/PlacementLoop.java
@@ -141,7 +141,7 @@
   private void preempt(String victimKey, String preemptorKey) {
     UnitKey unitKey = UnitKey.parse(victimKey);
     ActiveJob job = unitKey == null ? null : jobs.get(unitKey.job());
-    ActiveRun run = job == null ? null : job.runOf(unitKey);
+    ActiveRun run = unitKey == null || job == null ? null : job.runOf(unitKey);
     if (run != null) {
       context
           .events()
