--- a/src/main/java/io/dragonflyturn/internal/dispatch/JobRestorer.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/JobRestorer.java
@@ -28,7 +28,7 @@
   /** Restores all jobs of the directory that have not ended, and adopts the runs that may exist. */
   void restore(LoadedRuns runs) {
     context.directory().jobs().forEach(this::activateIfUnfinished);
-    runs.readable().forEach(this::restore);
+    runs.readable().forEach(this::restoreRun);
     runs.unreadableKeys().forEach(this::suspendJobOf);
   }
 
@@ -39,7 +39,7 @@
     }
   }
 
-  private void restore(String key, RunRecord stored) {
+  private void restoreRun(String key, RunRecord stored) {
     UnitKey unitKey = UnitKey.parse(key);
     if (unitKey == null) {
       context.events().event("record-unreadable").with("key", key).write();
--- a/src/main/java/io/dragonflyturn/internal/dispatch/OrderQueue.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/OrderQueue.java
@@ -120,10 +120,10 @@
     if (answer == null) {
       return;
     }
-    long sentMillis = context.nowMillis();
     sentOrders++;
     unanswered++;
     orders.unanswered++;
+    long sentMillis = context.nowMillis();
     answer.whenCompleteAsync(
         LoggedCallback.of(
             context.events(),
--- a/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
@@ -275,10 +275,10 @@
       scheduleStart(member);
       return null;
     }
-    WorkerSession session = member.session();
     member.markSent(context.nowMillis());
     gangStartDeadline.startOrderSent(run);
     context.metrics().startsOrdered().inc();
+    WorkerSession session = member.session();
     long leaseUntilMillis =
         session.grantLease(leadershipLease.workerLeaseEndMillis(), context.nowMillis());
     StartOrder order =
--- a/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
@@ -452,7 +452,7 @@
     }
 
     private void end(String task, EndKind kind) {
-      Run run = Objects.requireNonNull(running.remove(task));
+      final Run run = Objects.requireNonNull(running.remove(task));
       lastEndNumber++;
       breakGang(task, kind);
       stoppedRuns += kind == EndKind.STOPPED ? 1 : 0;
