--- a/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
@@ -77,7 +77,7 @@
     context.metrics().waitMillis().update(context.nowMillis() - unit.readySinceMillis());
     ActiveRun run = place(unit, unit.lastRunNumber() + 1, sessions, State.PLACED);
     KeyedRecord placement = record(unit);
-    if (!writer.limits().accept(placement, unit.maximumRecordGrowthBytes())) {
+    if (!writer.limits().accepts(placement, unit.maximumRecordGrowthBytes())) {
       withdraw(run);
       listener.unitInfeasible(unit, "placement-too-long");
       return;
--- a/src/main/java/io/dragonflyturn/internal/intake/JobRequestHandler.java
+++ b/src/main/java/io/dragonflyturn/internal/intake/JobRequestHandler.java
@@ -266,7 +266,7 @@
               content.recurrence());
       KeyedRecord submissionRecord =
           new KeyedRecord(recordKey, WorkloadCodec.encodeSubmission(submission));
-      if (!writer.limits().accept(submissionRecord)) {
+      if (!writer.limits().accepts(submissionRecord)) {
         log("job-refused", id, call.configuration, "too-long");
         return forwardedWrites.answerUnlessWritten(recordKey, new Malformed(TOO_LONG));
       }
--- a/src/main/java/io/dragonflyturn/internal/ledger/AppendLimits.java
+++ b/src/main/java/io/dragonflyturn/internal/ledger/AppendLimits.java
@@ -18,8 +18,8 @@
   private static final int RECORD_LENGTH_BYTES = 4;
 
   /** Returns whether the store accepts a record, by its size. */
-  public boolean accept(KeyedRecord candidate) {
-    return accept(candidate, 0);
+  public boolean accepts(KeyedRecord candidate) {
+    return accepts(candidate, 0);
   }
 
   /**
@@ -27,7 +27,7 @@
    *
    * @param growthBytes how much the record may grow, in bytes
    */
-  public boolean accept(KeyedRecord candidate, int growthBytes) {
+  public boolean accepts(KeyedRecord candidate, int growthBytes) {
     long recordSize = (long) recordSize(candidate) + growthBytes;
     return keyBytes(candidate) <= MAXIMUM_KEY_BYTES
         && recordSize <= recordBytes
--- a/src/main/java/io/dragonflyturn/internal/ledger/SequencedWriter.java
+++ b/src/main/java/io/dragonflyturn/internal/ledger/SequencedWriter.java
@@ -88,7 +88,7 @@
       result.complete(WriteResult.REFUSED);
       return result;
     }
-    if (!store.limits().accept(keyedRecord)) {
+    if (!store.limits().accepts(keyedRecord)) {
       logInvalid(keyedRecord, "too-long");
       result.complete(WriteResult.INVALID);
       return result;
@@ -197,10 +197,11 @@
    * that is left alone is the one that the store does not accept.
    */
   private void invalid(List<PendingWrite> batch) {
-    failedAttempts = 0;
     if (batch.size() == 1) {
       logInvalid(batch.getFirst().keyedRecord, "not-accepted");
-      finish(batch, WriteResult.INVALID);
+      boolean mayBeStored = failFast && failedAttempts > 0;
+      failedAttempts = 0;
+      finish(batch, mayBeStored ? WriteResult.FENCED : WriteResult.INVALID);
       return;
     }
     int half = batch.size() / 2;
--- a/src/main/java/io/dragonflyturn/internal/ledger/WriteResult.java
+++ b/src/main/java/io/dragonflyturn/internal/ledger/WriteResult.java
@@ -10,6 +10,9 @@
    * The record is not stored and never will be, because the store does not accept such a record.
    */
   INVALID,
-  /** Another writer has taken over, or this one was closed; the record may be stored. */
+  /**
+   * The record may be stored: another writer has taken over, this one was closed, or the store does
+   * not accept the record after an earlier attempt had an unknown outcome.
+   */
   FENCED
 }
--- a/src/test/java/io/dragonflyturn/internal/dispatch/FakeRecordStore.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/FakeRecordStore.java
@@ -101,7 +101,7 @@
     if (earlier != null) {
       return earlier;
     }
-    if (!records.stream().allMatch(acceptedLimits::accept)) {
+    if (!records.stream().allMatch(acceptedLimits::accepts)) {
       return new AppendOutcome.Invalid();
     }
     if (expectedEnd.isPresent() && expectedEnd.getAsLong() != log.size()) {
--- a/src/test/java/io/dragonflyturn/internal/ledger/SequencedWriterTest.java
+++ b/src/test/java/io/dragonflyturn/internal/ledger/SequencedWriterTest.java
@@ -107,6 +107,15 @@
     assertThat(eventLoop.submit(writer::isRetrying).get(5, TimeUnit.SECONDS)).isFalse();
   }
 
+  @Test
+  void should_not_call_a_record_invalid_that_an_earlier_attempt_may_have_stored() throws Exception {
+    store.scriptOutcomes(new AppendOutcome.Unknown(), new AppendOutcome.Invalid());
+
+    WriteResult result = write(writer(true), FIRST).get(5, TimeUnit.SECONDS);
+
+    assertThat(result).isEqualTo(WriteResult.FENCED);
+  }
+
   @Test
   void should_not_send_a_record_that_is_longer_than_the_store_allows() throws Exception {
     store.acceptsAll = true;
