Start the loop of PlanningLoopTest with the state that the operator proposed

Cause: in the test. The set-up waits until the operator's replica has applied each record, but the loop plans from another replica, which may lag behind. A first plan without the guarantee is refused for its version, and the second rightly places the urgent job first, so the first one stays queued for good. The product does what it should in both cases.

The tests of this class now start the loop when its replica has applied what the operator's has. No expectation and no bound has changed.

--- a/src/test/java/io/dragonflyturn/internal/scheduler/PlanningLoopTest.java
+++ b/src/test/java/io/dragonflyturn/internal/scheduler/PlanningLoopTest.java
@@ -91,7 +91,7 @@
   void should_plan_again_in_the_next_round_when_a_guarantee_is_appended_before_a_reservation()
       throws Exception {
     log.runBeforeAppend(RESERVATION, () -> proposeUnchecked(guarantees(WHOLE_WORKER)));
-    planning.start();
+    startPlanning();
     awaitUntil(this::hasAcceptedReservation);
 
     assertThat(reservations)
@@ -105,7 +105,7 @@
       throws Exception {
     log.runBeforeAppend(
         RESERVATION, () -> proposeUnchecked(guarantees(WHOLE_WORKER, WHOLE_WORKER)));
-    planning.start();
+    startPlanning();
     awaitUntil(() -> !reservations.isEmpty());
     long rejectedInRound = reservations.getFirst().round();
     awaitUntil(() -> metrics.plans.getCount() > rejectedInRound + SEVERAL_ROUNDS);
@@ -122,7 +122,7 @@
     propose(guarantees(HALF_WORKER), 0);
     CountDownLatch appendBlocker = new CountDownLatch(1);
     log.runBeforeAppend(RESERVATION, () -> await(appendBlocker));
-    planning.start();
+    startPlanning();
     awaitUntil(() -> metrics.plans.getCount() == 1);
     submit("urgent", HALF_WORKER, Urgency.URGENT);
     awaitUntil(() -> metrics.decisionsRefused.getCount() > 0);
@@ -140,12 +140,21 @@
   void should_plan_with_the_currently_listed_workers() throws Exception {
     propose(guarantees(WHOLE_WORKER), 0);
     instanceList = new InstanceList(List.of(worker("one", ACCELERATORS)), List.of());
-    planning.start();
+    startPlanning();
     awaitUntil(() -> metrics.plans.getCount() > SEVERAL_ROUNDS);
 
     assertThat(phase()).isEqualTo(JobPhase.QUEUED);
   }
 
+  /**
+   * Starts the loop once its replica has applied what the operator's replica has. With an older
+   * view, the first plan would rest on guarantees that have changed since.
+   */
+  private void startPlanning() throws InterruptedException {
+    assertThat(replica.awaitOffset(operator.appliedOffset(), TIMEOUT)).as("caught up").isTrue();
+    planning.start();
+  }
+
   private void plan() {
     Clock clock = Clock.systemUTC();
     MembershipSettings settings = MembershipSettings.DEFAULT;
