--- a/src/test/java/io/dragonflyturn/internal/dispatch/ManyEndsTest.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/ManyEndsTest.java
@@ -34,8 +34,7 @@
   void should_not_start_tasks_again_whose_ends_are_not_on_the_list_yet() {
     startTasks();
 
-    fixture.workers.disconnect("w1");
-    fixture.advance(1_500);
+    disconnectUntilTheTasksHaveEnded();
     fixture.workers.reconnect("w1");
     fixture.advance(8_000);
 
@@ -62,8 +61,7 @@
     fixture.advance(2_000);
     fixture.workers.setWorkMillis(WORK_MILLIS);
     startTasks();
-    fixture.workers.disconnect("w1");
-    fixture.advance(1_500);
+    disconnectUntilTheTasksHaveEnded();
 
     fixture.workers.reconnect("w1");
     fixture.advance(8_000);
@@ -78,8 +76,7 @@
   @Test
   void should_read_the_ends_that_did_not_fit_into_a_list_without_a_pause() {
     startTasks();
-    fixture.workers.disconnect("w1");
-    fixture.advance(1_500);
+    disconnectUntilTheTasksHaveEnded();
 
     fixture.workers.reconnect("w1");
     fixture.advance(2_900);
@@ -112,6 +109,11 @@
         .hasSize(JOBS * TASKS_OF_JOB);
   }
 
+  private void disconnectUntilTheTasksHaveEnded() {
+    fixture.workers.disconnect("w1");
+    fixture.advance(1_500);
+  }
+
   private List<String> tasksStartedAgain() {
     List<String> startedAgain = new ArrayList<>();
     for (int job = 0; job < JOBS; job++) {
