Log restarts of workers, and answers whose clock is behind the known life's

The log could not tell which life of a worker an order was made for, nor when the leader learnt of a restart. worker-restarted says from what it learnt, and both incarnations; worker-clock-behind says that a start was answered by a clock below what the known life's must show; run-start and worker-leases-ended name the incarnation. No decision changes.

--- a/src/main/java/io/dragonflyturn/internal/dispatch/RunEvents.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/RunEvents.java
@@ -21,12 +21,27 @@
         .with("task", member.task())
         .with("run", member.run().number())
         .with("worker", member.session().id())
+        .with("incarnation", member.session().incarnation())
         .with("outcome", outcome)
         .with("try", member.startAttempts())
         .with("term", term)
         .write();
   }
 
+  /** Logs that a worker's clock shows less than it must if the worker has not restarted. */
+  void clockBehind(Member member, long clockMillis) {
+    WorkerSession session = member.session();
+    events
+        .event("worker-clock-behind")
+        .with("worker", session.id())
+        .with("incarnation", session.incarnation())
+        .with("clockMillis", clockMillis)
+        .with("leastMillis", session.workerTimeMillis(member.sentMillis()))
+        .with("task", member.task())
+        .with("term", term)
+        .write();
+  }
+
   /** Logs why a run is stopped. */
   void runStopped(ActiveRun run, String cause) {
     events
--- a/src/main/java/io/dragonflyturn/internal/dispatch/RunReconciler.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/RunReconciler.java
@@ -46,6 +46,7 @@
   void reconcile(WorkerSession session, long pollSentMillis, Listing listing) {
     long now = context.nowMillis();
     if (listing.incarnation() > session.incarnation()) {
+      logRestart(session, listing);
       session.beginIncarnation(listing.incarnation(), listing.clockMillis(), now);
     }
     session.recordClock(listing.clockMillis(), now);
@@ -115,6 +116,20 @@
     }
   }
 
+  private void logRestart(WorkerSession session, Listing listing) {
+    context
+        .events()
+        .event("worker-restarted")
+        .with("worker", session.id())
+        .with("learnedFrom", "poll")
+        .with("incarnation", listing.incarnation())
+        .with("before", session.incarnation())
+        .with("clockMillis", listing.clockMillis())
+        .with("members", session.members().size())
+        .with("term", term)
+        .write();
+  }
+
   private void logUndecided(WorkerSession session, Listing listing, int undecided) {
     context
         .events()
--- a/src/main/java/io/dragonflyturn/internal/dispatch/StartOrders.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/StartOrders.java
@@ -110,6 +110,9 @@
   }
 
   private void confirm(Member member, Taken taken) {
+    if (taken.clockMillis() < member.session().workerTimeMillis(member.sentMillis())) {
+      events.clockBehind(member, taken.clockMillis());
+    }
     member.session().recordClock(taken.clockMillis(), context.nowMillis());
     member.confirm(context.nowMillis());
     events.startOrdered(member, "taken");
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkerFleet.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerFleet.java
@@ -12,6 +12,7 @@
 /** The sessions of all workers that are registered or on which a run may exist. */
 final class WorkerFleet implements RegistrationListener {
   private final DispatchContext context;
+  private final long term;
   private final long electedMillis;
   private final RunDriver driver;
   private final WorkerPoller poller;
@@ -21,12 +22,14 @@
 
   WorkerFleet(
       DispatchContext context,
+      long term,
       long electedMillis,
       RunDriver driver,
       WorkerPoller poller,
       PaceObserver paces,
       Runnable requestRound) {
     this.context = context;
+    this.term = term;
     this.electedMillis = electedMillis;
     this.driver = driver;
     this.poller = poller;
@@ -102,7 +105,9 @@
       return;
     }
     boolean wasDraining = session.registration().draining();
+    final long incarnationBefore = session.incarnation();
     if (session.update(registration, context.nowMillis())) {
+      logRestart(session, incarnationBefore);
       poller.pollIfNeeded(session);
     }
     if (registration.draining() && !wasDraining) {
@@ -113,6 +118,20 @@
     }
   }
 
+  private void logRestart(WorkerSession session, long incarnationBefore) {
+    context
+        .events()
+        .event("worker-restarted")
+        .with("worker", session.id())
+        .with("learnedFrom", "registration")
+        .with("incarnation", session.incarnation())
+        .with("before", incarnationBefore)
+        .with("clockMillis", session.registration().clockMillis())
+        .with("members", session.members().size())
+        .with("term", term)
+        .write();
+  }
+
   /**
    * Stops the runs that a draining worker cannot finish before it leaves, so that they continue
    * elsewhere. A run without checkpoints is stopped only if it needs more than twice the time that
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkerPoller.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerPoller.java
@@ -100,6 +100,7 @@
           .with("worker", session.id())
           .with("members", session.members().size())
           .with("unansweredPolls", session.unansweredPolls())
+          .with("incarnation", session.incarnation())
           .with("term", term)
           .write();
       List.copyOf(session.members()).forEach(each -> driver.resolve(each, EndKind.LOST, ""));
