Reproduce two runs of a task after its worker restarted, failing

RestartedWorkerTest brings about, without a network, what the incident shows and what was found by reading: a start by the clock of the former life, with and without its answer; a start that reaches the next life after its run was given up; an end that a poll for the former life acknowledges.

The in-memory workers now have a clock for each life, shorten a lease to the longest one, leave the polls of a former life unanswered, and report a task that starts after its end was acknowledged. Before, their clock went on over a restart and any lease was accepted, so no test could see this fault.

--- a/src/test/java/io/dragonflyturn/internal/dispatch/DispatchFixture.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/DispatchFixture.java
@@ -53,6 +53,7 @@
   final Set<String> domainsOutOfService = new HashSet<>();
   final RulesStatus rulesStatus = new RulesStatus();
   final Map<String, CustomerTerms> terms = new HashMap<>();
+  private long maximumLeaseMillis = 6_000;
   private final CustomerDirectory customers =
       new CustomerDirectory() {
         @Override
@@ -113,7 +114,7 @@
                   loop,
                   loop,
                   loop,
-                  new DispatchSettings(6_000, 200, 3_000, 5_000, 2_700),
+                  new DispatchSettings(maximumLeaseMillis, 200, 3_000, 5_000, 2_700),
                   events,
                   dispatchMetrics),
               follower);
@@ -153,6 +154,12 @@
     }
   }
 
+  /** Sets the longest lease that workers accept; must be called before instances are added. */
+  void setMaximumLeaseMillis(long millis) {
+    maximumLeaseMillis = millis;
+    workers.setMaximumLeaseMillis(millis);
+  }
+
   Instance instance(String name) {
     return instance(name, LARGE);
   }
@@ -203,6 +210,11 @@
     instances.forEach(each -> workers.registrations().forEach(each.feed::report));
   }
 
+  /** Reports the current registration of a worker to all instances. */
+  void reportWorker(String id) {
+    instances.forEach(each -> each.feed.report(workers.registration(id)));
+  }
+
   void cancel(String id) {
     submissions.write(new KeyedRecord(LedgerKeys.cancellation(id), new byte[] {1}));
   }
--- a/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
@@ -35,6 +35,7 @@
   private static final long ANSWER_DELAY_MILLIS = 2;
   private static final long FAILURE_DELAY_MILLIS = 40;
   private static final long ORDER_TIMEOUT_MILLIS = 500;
+  private static final long POLL_TIMEOUT_MARGIN_MILLIS = 800;
   private static final int LISTED_ENDS = 500;
   private static final long GANG_WAIT_MILLIS = 3_000;
 
@@ -47,8 +48,10 @@
   private final Set<String> assembledGangs = new HashSet<>();
   private final List<String> violations = new ArrayList<>();
   private final Map<String, Long> slowAnswerMillis = new HashMap<>();
+  private final Map<String, Long> heldBackMillis = new HashMap<>();
   private final Map<String, Integer> starts = new HashMap<>();
   private final Set<String> finishedEarly = new HashSet<>();
+  private final Set<String> acknowledgedDone = new HashSet<>();
   private final Map<String, Double> speeds = new HashMap<>();
   private final Map<String, Integer> tasksStarted = new HashMap<>();
   private LongUnaryOperator workByStart = start -> 3_000;
@@ -63,6 +66,7 @@
   private int unansweredOrders;
   private int runsAlone;
   private String checkpoint = "";
+  private long maximumLeaseMillis = 6_000;
 
   FakeWorkers(ManualLoop loop) {
     this.loop = loop;
@@ -92,13 +96,13 @@
         false,
         0,
         0,
-        clock());
+        worker(id).clock());
   }
 
   WorkerRegistration drainingRegistration(String id, long remainingMillis) {
     return new WorkerRegistration(
         id,
-        1,
+        worker(id).incarnation,
         "service",
         id + ":1",
         "north",
@@ -107,7 +111,12 @@
         true,
         remainingMillis,
         0,
-        clock());
+        worker(id).clock());
+  }
+
+  /** Sets the longest lease that workers accept; they shorten a longer one. */
+  void setMaximumLeaseMillis(long millis) {
+    maximumLeaseMillis = millis;
   }
 
   void setWorkMillis(long millis) {
@@ -176,9 +185,15 @@
     disconnected.remove(id);
   }
 
-  /** Starts a worker again under its identifier. It has forgotten its runs and their ends. */
+  /**
+   * Starts a worker again under its identifier. It has forgotten its runs, their ends, and the
+   * fencing token, and its clock starts anew. Polls that wait at its former life stay unanswered.
+   */
   void restart(String id) {
-    workers.put(id, new Worker(id, worker(id).incarnation + 1));
+    worker(id).expire();
+    Worker next = new Worker(id, worker(id).incarnation + 1);
+    next.startMillis = loop.millis();
+    workers.put(id, next);
   }
 
   /** Sets the checkpoint that workers name for all runs. */
@@ -210,6 +225,14 @@
     startDelayMillis = millis;
   }
 
+  /**
+   * Leaves the next start order to a worker unanswered, and executes it after a delay, in the life
+   * that the worker has then.
+   */
+  void holdBackStart(String id, long millis) {
+    heldBackMillis.put(id, millis);
+  }
+
   /** Executes the given number of start orders without answering them. */
   void loseStartAnswers(int count) {
     answersToLose = count;
@@ -261,12 +284,13 @@
     return Objects.requireNonNull(workers.get(id));
   }
 
-  private long clock() {
-    return loop.millis();
-  }
-
   @Override
   public CompletableFuture<OrderAnswer> start(WorkerRegistration worker, StartOrder order) {
+    Long heldBack = heldBackMillis.remove(worker.id());
+    if (heldBack != null) {
+      loop.schedule(() -> worker(worker.id()).start(order), heldBack, TimeUnit.MILLISECONDS);
+      return CompletableFuture.completedFuture(new OrderAnswer.Unanswered());
+    }
     if (startDelayMillis > 0) {
       unhealthyUntilMillis = loop.millis() + startDelayMillis;
       loop.schedule(
@@ -324,7 +348,7 @@
     if (disconnected.contains(worker.id())) {
       loop.schedule(
           () -> answer.complete(new PollAnswer.Unanswered()),
-          order.waitMillis() + 800,
+          order.waitMillis() + POLL_TIMEOUT_MARGIN_MILLIS,
           TimeUnit.MILLISECONDS);
       return answer;
     }
@@ -342,6 +366,13 @@
       answer.complete(new PollAnswer.Unanswered());
       return;
     }
+    if (worker(worker.id) != worker) {
+      loop.schedule(
+          () -> answer.complete(new PollAnswer.Unanswered()),
+          deadlineMillis + POLL_TIMEOUT_MARGIN_MILLIS - loop.millis(),
+          TimeUnit.MILLISECONDS);
+      return;
+    }
     PollAnswer current = worker.poll(order);
     boolean waits =
         current instanceof PollAnswer.Listing listing
@@ -362,6 +393,7 @@
     private final Map<String, Run> running = new LinkedHashMap<>();
     private final Map<String, Integer> lastRuns = new HashMap<>();
     private final List<EndedTask> ended = new ArrayList<>();
+    private long startMillis;
     private long fence;
     private long leaseUntilMillis;
     private long lastEndNumber;
@@ -371,13 +403,22 @@
       this.incarnation = incarnation;
     }
 
+    long clock() {
+      return loop.millis() - startMillis;
+    }
+
+    private void extendLease(long untilMillis) {
+      leaseUntilMillis =
+          Math.max(leaseUntilMillis, Math.min(untilMillis, clock() + maximumLeaseMillis));
+    }
+
     OrderAnswer start(StartOrder order) {
       expire();
       if (order.fence() < fence) {
         return new OrderAnswer.Refused(Reason.FENCED);
       }
       fence = order.fence();
-      leaseUntilMillis = Math.max(leaseUntilMillis, order.leaseUntilMillis());
+      extendLease(order.leaseUntilMillis());
       Run present = running.get(order.task());
       if (present != null && present.number == order.runNumber()) {
         return new OrderAnswer.Taken(clock());
@@ -388,6 +429,9 @@
       if (!workerOf(order.task()).isEmpty()) {
         violations.add(order.task() + " runs twice");
       }
+      if (acknowledgedDone.contains(order.task())) {
+        violations.add(order.task() + " starts again after its end was acknowledged");
+      }
       lastRuns.put(order.task(), order.runNumber());
       runsStarted++;
       tasksStarted.merge(id, 1, Integer::sum);
@@ -398,7 +442,7 @@
       long completionMillis = stalls ? Long.MAX_VALUE : clock() + totalMillis;
       boolean fails = failingAllRuns.contains(id);
       long failureMillis = fails ? clock() + FAILURE_DELAY_MILLIS : Long.MAX_VALUE;
-      Run run = new Run(order.runNumber(), totalMillis, completionMillis, failureMillis);
+      Run run = new Run(order.runNumber(), clock(), totalMillis, completionMillis, failureMillis);
       running.put(order.task(), run);
       starts.merge(order.task(), 1, Integer::sum);
       recordAssembly(order.task(), order.runNumber());
@@ -424,15 +468,26 @@
         return new PollAnswer.Refused(Reason.FENCED);
       }
       fence = order.fence();
-      leaseUntilMillis = Math.max(leaseUntilMillis, order.leaseUntilMillis());
-      ended.removeIf(each -> each.endNumber() <= order.lastAcknowledgedEnd());
+      extendLease(order.leaseUntilMillis());
+      acknowledge(order.lastAcknowledgedEnd());
       List<RunningTask> list = new ArrayList<>();
-      running.forEach((task, run) -> list.add(run.listed(task)));
+      running.forEach((task, run) -> list.add(run.listed(task, clock())));
       List<EndedTask> listedEnds = ended.subList(0, Math.min(LISTED_ENDS, ended.size()));
       return new PollAnswer.Listing(
           incarnation, clock(), list, listedEnds, ended.size() < LISTED_ENDS);
     }
 
+    private void acknowledge(long endNumber) {
+      for (EndedTask end : List.copyOf(ended)) {
+        if (end.endNumber() <= endNumber) {
+          ended.remove(end);
+          if (end.kind() == EndKind.DONE) {
+            acknowledgedDone.add(end.task());
+          }
+        }
+      }
+    }
+
     void expire() {
       for (Map.Entry<String, Run> entry : Map.copyOf(running).entrySet()) {
         if (!running.containsKey(entry.getKey())) {
@@ -497,23 +552,24 @@
     }
   }
 
-  /** A run on a worker. */
+  /** A run on a worker. Times are in milliseconds of the worker's clock. */
   private final class Run {
     private final int number;
-    private final long startMillis = clock();
+    private final long startMillis;
     private final long totalMillis;
     private final long completionMillis;
     private final long failureMillis;
 
-    Run(int number, long totalMillis, long completionMillis, long failureMillis) {
+    Run(int number, long startMillis, long totalMillis, long completionMillis, long failureMillis) {
       this.number = number;
+      this.startMillis = startMillis;
       this.totalMillis = totalMillis;
       this.completionMillis = completionMillis;
       this.failureMillis = failureMillis;
     }
 
-    RunningTask listed(String task) {
-      long remainingMillis = Math.min(completionMillis - clock(), totalMillis);
+    RunningTask listed(String task, long clockMillis) {
+      long remainingMillis = Math.min(completionMillis - clockMillis, totalMillis);
       long percent = Math.max(0, 100 - remainingMillis * 100 / totalMillis);
       return new RunningTask(
           task, number, checkpoint, finishedEarly.contains(task) ? 100 : (int) percent);
--- /dev/null
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/RestartedWorkerTest.java
@@ -0,0 +1,113 @@
+package io.dragonflyturn.internal.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Replays workers that start again under their identifiers, and orders for their former lives that
+ * the new ones carry out.
+ */
+class RestartedWorkerTest {
+  private static final long MAXIMUM_LEASE_MILLIS = 10_000;
+  private static final long UPTIME_MILLIS = 60_000;
+  private static final long LONG_WORK_MILLIS = 40_000;
+  private static final long LONGEST_WAIT_MILLIS = 30_000;
+
+  private final DispatchFixture fixture = new DispatchFixture();
+
+  @BeforeEach
+  void startInstanceWithOneWorkerThatHasRunForLong() {
+    fixture.setMaximumLeaseMillis(MAXIMUM_LEASE_MILLIS);
+    fixture.workers.add("w1");
+    fixture.workers.setWorkMillis(LONG_WORK_MILLIS);
+    fixture.instance("only");
+    fixture.advance(UPTIME_MILLIS);
+  }
+
+  /** The new life held the task for longer than the lease that the leader counted. */
+  @Test
+  void should_not_run_a_task_twice_when_its_worker_is_cut_off_after_an_unnoticed_restart() {
+    fixture.workers.restart("w1");
+    fixture.submit("a", 1, DispatchFixture.tasks(1));
+    fixture.advance(50);
+    assertThat(fixture.workers.runningTasks()).containsExactly("a.0.0.0");
+
+    fixture.workers.disconnect("w1");
+    addIdleWorker();
+    fixture.advance(LONGEST_WAIT_MILLIS);
+
+    assertThat(fixture.workers.violations()).isEmpty();
+    assertThat(fixture.workers.workerOf("a.0.0.0")).isEqualTo("w2");
+  }
+
+  /** No answer told the leader that the order had reached another life. */
+  @Test
+  void should_not_run_a_task_twice_when_the_answer_to_its_start_is_lost_after_a_restart() {
+    fixture.workers.restart("w1");
+    fixture.workers.loseStartAnswers(1);
+    fixture.submit("a", 1, DispatchFixture.tasks(1));
+    fixture.advance(30);
+    assertThat(fixture.workers.runningTasks()).containsExactly("a.0.0.0");
+
+    fixture.workers.disconnect("w1");
+    addIdleWorker();
+    fixture.advance(LONGEST_WAIT_MILLIS);
+
+    assertThat(fixture.workers.violations()).isEmpty();
+    assertThat(fixture.workers.workerOf("a.0.0.0")).isEqualTo("w2");
+  }
+
+  /** The new life knew neither the fencing token nor that the run had been given up. */
+  @Test
+  void should_not_run_a_task_twice_when_its_delayed_start_reaches_the_next_life() {
+    fixture.workers.holdBackStart("w1", 6_000);
+    fixture.submit("a", 1, DispatchFixture.tasks(1));
+    fixture.advance(1_000);
+    addIdleWorker();
+    fixture.workers.restart("w1");
+    fixture.drain("w1", 60_000);
+
+    fixture.advance(10_000);
+
+    assertThat(fixture.workers.violations()).isEmpty();
+    assertThat(fixture.workers.workerOf("a.0.0.0")).isEqualTo("w2");
+  }
+
+  /** A poll for the former life acknowledged an end of the new one that nobody had read. */
+  @Test
+  void should_not_run_a_done_task_again_whose_end_a_poll_for_the_former_life_acknowledges() {
+    fixture.workers.setWorkMillis(1_000);
+    fixture.submit("a", 1, DispatchFixture.tasks(3));
+    fixture.advance(3_000);
+
+    fixture.workers.restart("w1");
+    fixture.workers.setWorkMillis(1);
+    fixture.submit("b", 1, DispatchFixture.tasks(1));
+    fixture.advance(5_000);
+
+    assertThat(fixture.workers.violations()).isEmpty();
+    assertThat(fixture.workers.starts("b.0.0.0")).isEqualTo(1);
+  }
+
+  /** Runs that the former life took with it start again, and at once. */
+  @Test
+  void should_start_the_tasks_of_a_worker_again_that_has_restarted() {
+    fixture.submit("a", 1, DispatchFixture.tasks(2));
+    fixture.advance(1_000);
+
+    fixture.workers.restart("w1");
+    fixture.reportWorker("w1");
+    fixture.advance(500);
+
+    assertThat(fixture.workers.starts("a.0.0.0")).isEqualTo(2);
+    assertThat(fixture.workers.starts("a.0.0.1")).isEqualTo(2);
+    assertThat(fixture.workers.violations()).isEmpty();
+  }
+
+  private void addIdleWorker() {
+    fixture.workers.add("w2");
+    fixture.reportWorker("w2");
+  }
+}
