Tell the lives of a worker apart, so that no order for one acts on the next

Callers saw one task run twice at the same time, after its worker had started again under its id and was cut off soon after.

Cause: what the leader knew of a worker (its clock, the numbers of its ends, what it had agreed to) was kept by the worker's id.

The change: - WorkerLife holds what belongs to one life. A new one begins with whichever comes first: the registration, a list, or a clock below what the known life's must show. - Orders carry a fencing token of the life, and a new life is polled at once, also while a poll of the former one hangs. From its first answer on it refuses orders for its former lives. FENCED counts as the loss of leadership only if the token was the present life's. A new life gets no work before it has listed its runs. - Answers to orders for a former life are not taken for the present one's; nothing is concluded from a list but for the life that the poll was made for. - What earlier orders may have granted in a life ends the longest lease after its first answer. A member with a start that was lost is given up only when the longest lease after the last lost order has ended; other members wait no longer than before. - Ends are acknowledged only if the life has listed since the last lost order. - Members and stop orders of the former life are uncertain, and are asked for again. - A session that ends sends nothing more, because its token would be too low.

Ruled out as the cause of what was seen: a start carried out after its run had been given up, and an end that was acknowledged unread.

--- a/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
@@ -283,6 +283,11 @@
     poller.pollIfNeeded(member.session());
   }
 
+  @Override
+  public void workerRestarted(WorkerSession session) {
+    poller.pollRestarted(session);
+  }
+
   @Override
   public void unitCompleted(WorkUnit unit) {
     updateJob(unit.job());
--- a/src/main/java/io/dragonflyturn/internal/dispatch/Member.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/Member.java
@@ -1,6 +1,7 @@
 package io.dragonflyturn.internal.dispatch;
 
 import java.util.function.LongSupplier;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A member of a run: one task on the worker that it is placed on. Times are in milliseconds of the
@@ -38,6 +39,9 @@
   private final boolean adopted;
   private State state;
   private int startAttempts;
+  private @Nullable WorkerLife sentLife;
+  private boolean lostStart;
+  private long lostStartMillis;
   private boolean stopRequested;
   private long sentMillis;
   private long confirmedMillis;
@@ -82,7 +86,10 @@
     PLACED,
     /** A start order was sent, but no answer confirms the start. */
     SENT,
-    /** An earlier leader placed the member; whether it is running is unknown. */
+    /**
+     * An earlier leader placed the member, or its worker has started again; whether it is running
+     * is unknown.
+     */
     UNCERTAIN,
     /** The worker has accepted the start order, or has listed the run. */
     CONFIRMED,
@@ -124,6 +131,7 @@
   void markSent(long nowMillis) {
     state = State.SENT;
     sentMillis = nowMillis;
+    sentLife = session.life();
     startAttempts++;
   }
 
@@ -132,6 +140,37 @@
     return sentMillis;
   }
 
+  /** Returns whether the last start order was made for the present life of the worker. */
+  boolean isSentToPresentLife() {
+    return sentLife == session.life();
+  }
+
+  /** Records that a start order was given up, or was answered by a life it was not made for. */
+  void markStartLost(long nowMillis) {
+    lostStart = true;
+    lostStartMillis = nowMillis;
+  }
+
+  /** Returns whether a lost start order may have started the member in an unknown life. */
+  boolean hasLostStart() {
+    return lostStart;
+  }
+
+  /** Records that the present life has listed the member in its answer to a poll. */
+  void markListed(long pollSentMillis) {
+    if (pollSentMillis > lostStartMillis + WorkerSession.LOST_ORDER_MARGIN_MILLIS) {
+      lostStart = false;
+    }
+  }
+
+  /** Records that the worker has started again: whether it runs the member is unknown. */
+  void workerRestarted() {
+    stopAcceptedMillis = 0;
+    if (state == State.CONFIRMED) {
+      state = State.UNCERTAIN;
+    }
+  }
+
   int startAttempts() {
     return startAttempts;
   }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/PlanningRound.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/PlanningRound.java
@@ -219,9 +219,8 @@
     for (WorkerSession session : sessions.values()) {
       WorkerRegistration worker = session.registration();
       boolean usable =
-          session.isRegistered()
+          session.isAvailable()
               && !worker.draining()
-              && session.unansweredPolls() == 0
               && !context.rules().isOutOfService(worker.failureDomain());
       if (usable) {
         snapshots.add(snapshot(session));
--- a/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
@@ -47,10 +47,10 @@
     this.events = new RunEvents(context.events(), term);
     this.quota = new CustomerQuota(context.customers());
     OrderQueue orders = new OrderQueue(context);
-    this.stopOrders = new StopOrders(context, term, orders, events, this, listener);
+    this.stopOrders = new StopOrders(context, orders, events, this, listener);
     this.startOrders =
         new StartOrders(
-            context, term, leadershipLease, orders, stopOrders, health, events, this, listener);
+            context, leadershipLease, orders, stopOrders, health, events, this, listener);
   }
 
   void close() {
@@ -153,6 +153,22 @@
     List.copyOf(run.members()).forEach(stopOrders::request);
   }
 
+  /**
+   * Processes that a worker has started again: whether it runs its members is unknown, and it knows
+   * of no stop.
+   *
+   * @param learnedFrom what told so, for the event log
+   * @param incarnationBefore the incarnation of the life before
+   */
+  void workerRestarted(WorkerSession session, String learnedFrom, long incarnationBefore) {
+    events.workerRestarted(session, learnedFrom, incarnationBefore);
+    for (Member member : List.copyOf(session.members())) {
+      member.workerRestarted();
+      stopOrders.repeat(member);
+    }
+    listener.workerRestarted(session);
+  }
+
   /**
    * Runs an action once everything written so far is stored. The action is dropped if the last
    * write is not stored or this driver is closed.
@@ -265,6 +281,9 @@
      */
     void memberActive(Member member);
 
+    /** Called when a worker has started again, so that it must be polled. */
+    void workerRestarted(WorkerSession session);
+
     /** Called when the completion of a unit is stored. */
     void unitCompleted(WorkUnit unit);
 
--- a/src/main/java/io/dragonflyturn/internal/dispatch/RunEvents.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/RunEvents.java
@@ -42,6 +42,25 @@
         .write();
   }
 
+  /**
+   * Logs that a worker has started again.
+   *
+   * @param learnedFrom what told so
+   * @param incarnationBefore the incarnation of the life before
+   */
+  void workerRestarted(WorkerSession session, String learnedFrom, long incarnationBefore) {
+    events
+        .event("worker-restarted")
+        .with("worker", session.id())
+        .with("learnedFrom", learnedFrom)
+        .with("incarnation", session.incarnation())
+        .with("before", incarnationBefore)
+        .with("fence", session.life().fence())
+        .with("members", session.members().size())
+        .with("term", term)
+        .write();
+  }
+
   /** Logs why a run is stopped. */
   void runStopped(ActiveRun run, String cause) {
     events
--- a/src/main/java/io/dragonflyturn/internal/dispatch/RunReconciler.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/RunReconciler.java
@@ -39,28 +39,24 @@
   }
 
   /**
-   * Processes the answer to a poll.
+   * Processes what the present life of a worker lists in its answer to a poll that was made for it.
    *
    * @param pollSentMillis when the poll was sent, in milliseconds of the monotonic clock
    */
   void reconcile(WorkerSession session, long pollSentMillis, Listing listing) {
-    long now = context.nowMillis();
-    if (listing.incarnation() > session.incarnation()) {
-      logRestart(session, listing);
-      session.beginIncarnation(listing.incarnation(), listing.clockMillis(), now);
-    }
-    session.recordClock(listing.clockMillis(), now);
-    session.setUnlistedEnds(!listing.endsComplete());
+    final WorkerLife life = session.life();
+    life.recordClock(listing.clockMillis(), context.nowMillis());
+    life.setUnlistedEnds(!listing.endsComplete());
     Set<String> listed = new HashSet<>();
     for (RunningTask running : listing.running()) {
       listed.add(running.task());
-      reconcileRunning(session, running);
+      reconcileRunning(session, pollSentMillis, running);
     }
-    long lastSeenEnd = session.lastSeenEnd();
+    long lastSeenEnd = life.lastSeenEnd();
     for (EndedTask ended : listing.ended()) {
       listed.add(ended.task());
       if (ended.endNumber() > lastSeenEnd) {
-        session.markEndSeen(ended.endNumber());
+        life.markEndSeen(ended.endNumber());
         reconcileEnded(session, ended);
       }
     }
@@ -78,7 +74,7 @@
     }
   }
 
-  private void reconcileRunning(WorkerSession session, RunningTask running) {
+  private void reconcileRunning(WorkerSession session, long pollSentMillis, RunningTask running) {
     Member member = session.member(running.task());
     if (member == null || member.run().number() != running.runNumber()) {
       stopUnknownRun(session, running);
@@ -87,6 +83,7 @@
     if (member.state() == State.UNCERTAIN || member.state() == State.SENT) {
       member.confirm(context.nowMillis());
     }
+    member.markListed(pollSentMillis);
     if (member.updateProgress(running.percent(), context.nowMillis())) {
       health.recordProgress(session.id());
     }
@@ -106,7 +103,9 @@
         .write();
     context
         .gateway()
-        .stop(session.registration(), new StopOrder(running.task(), running.runNumber(), term));
+        .stop(
+            session.registration(),
+            new StopOrder(running.task(), running.runNumber(), session.life().fence()));
   }
 
   private void reconcileEnded(WorkerSession session, EndedTask ended) {
@@ -116,20 +115,6 @@
     }
   }
 
-  private void logRestart(WorkerSession session, Listing listing) {
-    context
-        .events()
-        .event("worker-restarted")
-        .with("worker", session.id())
-        .with("learnedFrom", "poll")
-        .with("incarnation", listing.incarnation())
-        .with("before", session.incarnation())
-        .with("clockMillis", listing.clockMillis())
-        .with("members", session.members().size())
-        .with("term", term)
-        .write();
-  }
-
   private void logUndecided(WorkerSession session, Listing listing, int undecided) {
     context
         .events()
--- a/src/main/java/io/dragonflyturn/internal/dispatch/StartOrders.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/StartOrders.java
@@ -20,7 +20,6 @@
   private static final int MAXIMUM_ATTEMPTS = 3;
 
   private final DispatchContext context;
-  private final long term;
   private final LeadershipLease leadershipLease;
   private final OrderQueue orders;
   private final StopOrders stopOrders;
@@ -32,7 +31,6 @@
 
   StartOrders(
       DispatchContext context,
-      long term,
       LeadershipLease leadershipLease,
       OrderQueue orders,
       StopOrders stopOrders,
@@ -41,7 +39,6 @@
       RunDriver driver,
       RunDriver.Listener listener) {
     this.context = context;
-    this.term = term;
     this.leadershipLease = leadershipLease;
     this.orders = orders;
     this.stopOrders = stopOrders;
@@ -93,7 +90,7 @@
             unit.job().submission().specification(),
             unit.checkpoint(),
             leaseUntilMillis,
-            term);
+            session.life().fence());
     return context.gateway().start(session.registration(), order);
   }
 
@@ -103,23 +100,40 @@
     }
     gangStartDeadline.startOrderAnswered(member, answer);
     switch (answer) {
-      case Taken taken -> confirm(member, taken);
+      case Taken taken -> taken(member, taken);
       case Refused refusal -> refused(member, refusal.reason());
-      case Unanswered none -> unanswered(member);
+      case Unanswered none -> lost(member, "unanswered");
     }
   }
 
-  private void confirm(Member member, Taken taken) {
-    if (taken.clockMillis() < member.session().workerTimeMillis(member.sentMillis())) {
+  private void taken(Member member, Taken taken) {
+    WorkerSession session = member.session();
+    if (!member.isSentToPresentLife()) {
+      lost(member, "former-life");
+    } else if (taken.clockMillis() < session.workerTimeMillis(member.sentMillis())) {
       events.clockBehind(member, taken.clockMillis());
+      long incarnationBefore = session.incarnation();
+      session.beginUnknownLife(taken.clockMillis(), context.nowMillis());
+      driver.workerRestarted(session, "clock", incarnationBefore);
+      lost(member, "former-life");
+    } else {
+      confirm(member, taken);
     }
-    member.session().recordClock(taken.clockMillis(), context.nowMillis());
+  }
+
+  private void confirm(Member member, Taken taken) {
+    member.session().firstAnswered(context.nowMillis());
+    member.session().life().recordClock(taken.clockMillis(), context.nowMillis());
     member.confirm(context.nowMillis());
     events.startOrdered(member, "taken");
     listener.memberActive(member);
   }
 
   private void refused(Member member, OrderAnswer.Reason reason) {
+    if (reason == OrderAnswer.Reason.FENCED && !member.isSentToPresentLife()) {
+      lost(member, "former-life");
+      return;
+    }
     events.startOrdered(member, reason);
     context.metrics().startsFailed().inc();
     if (reason == OrderAnswer.Reason.FENCED) {
@@ -149,9 +163,16 @@
     }
   }
 
-  private void unanswered(Member member) {
-    events.startOrdered(member, "unanswered");
+  /**
+   * Repeats a start order of which it is not known whether the present life of the worker has
+   * executed it.
+   */
+  private void lost(Member member, String outcome) {
+    events.startOrdered(member, outcome);
     context.metrics().startsFailed().inc();
+    member.markStartLost(context.nowMillis());
+    member.session().orderLost(context.nowMillis());
+    member.session().life().markInDoubt(context.nowMillis());
     listener.memberActive(member);
     if (member.state() == State.CONFIRMED) {
       return;
--- a/src/main/java/io/dragonflyturn/internal/dispatch/StopOrders.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/StopOrders.java
@@ -15,7 +15,6 @@
   private static final long RETRY_DELAY_MILLIS = 300;
 
   private final DispatchContext context;
-  private final long term;
   private final OrderQueue orders;
   private final RunEvents events;
   private final RunDriver driver;
@@ -23,13 +22,11 @@
 
   StopOrders(
       DispatchContext context,
-      long term,
       OrderQueue orders,
       RunEvents events,
       RunDriver driver,
       RunDriver.Listener listener) {
     this.context = context;
-    this.term = term;
     this.orders = orders;
     this.events = events;
     this.driver = driver;
@@ -52,22 +49,38 @@
     submit(member);
   }
 
+  /**
+   * Stops a member again whose worker has started again: the new life knows of no stop; does
+   * nothing if no stop was requested.
+   */
+  void repeat(Member member) {
+    if (member.isStopRequested() && !member.isResolved()) {
+      submit(member);
+    }
+  }
+
   private void submit(Member member) {
+    Attempt attempt = new Attempt(member);
     orders.submitStop(
-        member.session().id(), () -> send(member), answer -> answered(member, answer));
+        member.session().id(), () -> send(attempt), answer -> answered(attempt, answer));
   }
 
   /** Sends a stop order. Returns a future of its answer; null if the member has ended. */
-  private @Nullable CompletableFuture<OrderAnswer> send(Member member) {
+  private @Nullable CompletableFuture<OrderAnswer> send(Attempt attempt) {
+    Member member = attempt.member;
     if (driver.isClosed() || member.isResolved()) {
       return null;
     }
-    StopOrder order = new StopOrder(member.task(), member.run().number(), term);
-    return context.gateway().stop(member.session().registration(), order);
+    WorkerSession session = member.session();
+    attempt.life = session.life();
+    StopOrder order = new StopOrder(member.task(), member.run().number(), session.life().fence());
+    return context.gateway().stop(session.registration(), order);
   }
 
-  private void answered(Member member, OrderAnswer answer) {
-    if (driver.isClosed() || member.isResolved()) {
+  private void answered(Attempt attempt, OrderAnswer answer) {
+    Member member = attempt.member;
+    boolean isOutdated = attempt.life != member.session().life();
+    if (driver.isClosed() || member.isResolved() || isOutdated) {
       return;
     }
     if (answer instanceof Taken) {
@@ -81,6 +94,16 @@
     context.eventLoop().schedule(() -> submit(member), RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
   }
 
+  /** A stop order with the life of the worker that it was made for. */
+  private static final class Attempt {
+    private final Member member;
+    private @Nullable WorkerLife life;
+
+    Attempt(Member member) {
+      this.member = member;
+    }
+  }
+
   /** Handles a refused stop order. Returns whether the order need not be repeated. */
   private boolean settled(Member member, OrderAnswer.Reason reason) {
     if (reason == OrderAnswer.Reason.FENCED) {
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkerFleet.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerFleet.java
@@ -12,7 +12,7 @@
 /** The sessions of all workers that are registered or on which a run may exist. */
 final class WorkerFleet implements RegistrationListener {
   private final DispatchContext context;
-  private final long term;
+  private final FencingTokens fencingTokens;
   private final long electedMillis;
   private final RunDriver driver;
   private final WorkerPoller poller;
@@ -29,7 +29,7 @@
       PaceObserver paces,
       Runnable requestRound) {
     this.context = context;
-    this.term = term;
+    this.fencingTokens = new FencingTokens(term);
     this.electedMillis = electedMillis;
     this.driver = driver;
     this.poller = poller;
@@ -54,7 +54,8 @@
     for (WorkerSession session : List.copyOf(sessions.values())) {
       isolated(() -> poller.tick(session));
       paces.tick(session);
-      if (!session.isRegistered() && session.members().isEmpty()) {
+      if (session.isObsolete()) {
+        session.close();
         sessions.remove(session.id());
         paces.forget(session.id());
       }
@@ -73,7 +74,7 @@
   WorkerSession adopt(RunRecord.Placement placement) {
     WorkerSession session = sessions.get(placement.worker());
     if (session == null) {
-      session = new WorkerSession(placeholderRegistration(placement), context.nowMillis());
+      session = newSession(placeholderRegistration(placement));
       session.markUnregistered();
       sessions.put(placement.worker(), session);
     }
@@ -81,6 +82,11 @@
     return session;
   }
 
+  private WorkerSession newSession(WorkerRegistration registration) {
+    return new WorkerSession(
+        registration, fencingTokens, context.settings().maximumLeaseMillis(), context.nowMillis());
+  }
+
   private static WorkerRegistration placeholderRegistration(RunRecord.Placement placement) {
     return new WorkerRegistration(
         placement.worker(),
@@ -100,15 +106,14 @@
   public void registered(WorkerRegistration registration) {
     WorkerSession session = sessions.get(registration.id());
     if (session == null) {
-      sessions.put(registration.id(), new WorkerSession(registration, context.nowMillis()));
+      sessions.put(registration.id(), newSession(registration));
       requestRound.run();
       return;
     }
     boolean wasDraining = session.registration().draining();
-    final long incarnationBefore = session.incarnation();
+    long incarnationBefore = session.incarnation();
     if (session.update(registration, context.nowMillis())) {
-      logRestart(session, incarnationBefore);
-      poller.pollIfNeeded(session);
+      driver.workerRestarted(session, "registration", incarnationBefore);
     }
     if (registration.draining() && !wasDraining) {
       abortLongRuns(session);
@@ -118,20 +123,6 @@
     }
   }
 
-  private void logRestart(WorkerSession session, long incarnationBefore) {
-    context
-        .events()
-        .event("worker-restarted")
-        .with("worker", session.id())
-        .with("learnedFrom", "registration")
-        .with("incarnation", session.incarnation())
-        .with("before", incarnationBefore)
-        .with("clockMillis", session.registration().clockMillis())
-        .with("members", session.members().size())
-        .with("term", term)
-        .write();
-  }
-
   /**
    * Stops the runs that a draining worker cannot finish before it leaves, so that they continue
    * elsewhere. A run without checkpoints is stopped only if it needs more than twice the time that
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkerPoller.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerPoller.java
@@ -73,37 +73,45 @@
 
   /** Polls a worker if it needs a poll and none is open or scheduled. */
   void pollIfNeeded(WorkerSession session) {
-    if (closed || session.isPolling() || session.isPollScheduled() || !session.needsPoll()) {
+    boolean pending = session.life().isPolling() || session.isPollScheduled();
+    if (closed || pending || !session.needsPoll()) {
       return;
     }
-    if (session.members().isEmpty() && !session.hasUnlistedEnds()) {
+    if (session.members().isEmpty() && !session.life().hasUnlistedEnds()) {
       schedulePoll(session, MEMBERLESS_POLL_DELAY_MILLIS);
       return;
     }
     poll(session);
   }
 
+  /**
+   * Polls a worker that has started again at once, so that it refuses orders for its former life,
+   * even if a poll of that life is open.
+   */
+  void pollRestarted(WorkerSession session) {
+    if (!closed && !session.life().isPolling()) {
+      poll(session);
+    }
+  }
+
   /**
    * Resolves the members of a silent worker as lost once all its leases have expired, stops runs
    * without progress, and polls the worker if needed.
    */
   void tick(WorkerSession session) {
-    long now = context.nowMillis();
-    boolean expired =
-        !session.members().isEmpty()
-            && session.unansweredPolls() > 0
-            && session.haveLeasesExpired(now, context.settings().leaseMillis());
-    if (expired) {
+    List<Member> ended = certainlyEnded(session);
+    if (!ended.isEmpty()) {
       context
           .events()
           .event("worker-leases-ended")
           .with("worker", session.id())
-          .with("members", session.members().size())
+          .with("members", ended.size())
+          .with("undecided", session.members().size() - ended.size())
           .with("unansweredPolls", session.unansweredPolls())
           .with("incarnation", session.incarnation())
           .with("term", term)
           .write();
-      List.copyOf(session.members()).forEach(each -> driver.resolve(each, EndKind.LOST, ""));
+      ended.forEach(each -> driver.resolve(each, EndKind.LOST, ""));
     }
     for (Member member : List.copyOf(session.members())) {
       if (member.isStalled() && session.unansweredPolls() == 0) {
@@ -113,6 +121,18 @@
     pollIfNeeded(session);
   }
 
+  /** Returns the members of a silent worker that have certainly ended. */
+  private List<Member> certainlyEnded(WorkerSession session) {
+    if (session.unansweredPolls() == 0) {
+      return List.of();
+    }
+    long now = context.nowMillis();
+    long leaseMillis = context.settings().leaseMillis();
+    return session.members().stream()
+        .filter(member -> session.hasCertainlyEnded(member, now, leaseMillis))
+        .toList();
+  }
+
   /** Stops a run without progress, and excludes its worker for a time. */
   private void stopStalledRun(Member member) {
     ActiveRun run = member.run();
@@ -137,37 +157,48 @@
 
   private void runScheduledPoll(WorkerSession session) {
     session.cancelScheduledPoll();
-    if (!closed && !session.isPolling() && session.needsPoll()) {
+    if (!closed && !session.life().isPolling() && session.needsPoll()) {
       poll(session);
     }
   }
 
   private void poll(WorkerSession session) {
     session.cancelScheduledPoll();
-    session.setPolling(true);
+    WorkerLife life = session.life();
+    life.setPolling(true);
     context.metrics().polls().inc();
-    long pollSentMillis = context.nowMillis();
-    long acknowledgedEnd = session.lastRecordedEnd();
-    boolean letsLeaseExpire =
-        session.unansweredPolls() >= UNANSWERED_POLLS_BEFORE_LEASE_EXPIRY
-            || leadershipLease.hasExpired();
-    long leaseUntilMillis =
-        letsLeaseExpire
-            ? PollOrder.NO_RENEWAL
-            : session.grantLease(leadershipLease.workerLeaseEndMillis(), pollSentMillis);
-    PollOrder order = new PollOrder(leaseUntilMillis, acknowledgedEnd, waitMillis(session), term);
+    SentPoll sent = new SentPoll(life, context.nowMillis(), pollOrder(session));
     context
         .gateway()
-        .poll(session.registration(), order)
+        .poll(session.registration(), sent.order())
         .whenCompleteAsync(
             LoggedCallback.of(
                 context.events(),
                 "answered",
-                (answer, failure) ->
-                    pollAnswered(session, pollSentMillis, acknowledgedEnd, answer)),
+                (answer, failure) -> pollAnswered(session, sent, answer)),
             context.eventLoop());
   }
 
+  private PollOrder pollOrder(WorkerSession session) {
+    boolean letsLeaseExpire =
+        session.unansweredPolls() >= UNANSWERED_POLLS_BEFORE_LEASE_EXPIRY
+            || leadershipLease.hasExpired();
+    long leaseUntilMillis =
+        letsLeaseExpire
+            ? PollOrder.NO_RENEWAL
+            : session.grantLease(leadershipLease.workerLeaseEndMillis(), context.nowMillis());
+    WorkerLife life = session.life();
+    return new PollOrder(
+        leaseUntilMillis, life.endToAcknowledge(), waitMillis(session), life.fence());
+  }
+
+  /** A poll with the life of the worker that it was made for. */
+  private record SentPoll(WorkerLife life, long sentMillis, PollOrder order) {
+    boolean grantsLease() {
+      return order.leaseUntilMillis() != PollOrder.NO_RENEWAL;
+    }
+  }
+
   /**
    * Returns how long the worker may wait before it answers: not at all while it is unknown what it
    * runs.
@@ -175,7 +206,8 @@
   private long waitMillis(WorkerSession session) {
     boolean statesKnown =
         session.members().stream().noneMatch(each -> each.state() == State.UNCERTAIN);
-    boolean waits = statesKnown && !session.members().isEmpty() && !session.hasUnrecordedEnds();
+    boolean waits =
+        statesKnown && !session.members().isEmpty() && !session.life().hasUnrecordedEnds();
     if (!waits) {
       return 0;
     }
@@ -184,28 +216,61 @@
         : MAXIMUM_POLL_WAIT_MILLIS;
   }
 
-  private void pollAnswered(
-      WorkerSession session, long pollSentMillis, long acknowledgedEnd, PollAnswer answer) {
-    session.setPolling(false);
-    if (closed) {
+  /**
+   * Processes the answer to a poll. An answer to a poll for a former life is ignored: the present
+   * one is polled itself, and ends that it lists by then must not count for both.
+   */
+  private void pollAnswered(WorkerSession session, SentPoll sent, PollAnswer answer) {
+    WorkerLife life = sent.life();
+    life.setPolling(false);
+    if (closed || session.isClosed()) {
+      return;
+    }
+    if (answer instanceof Unanswered && sent.grantsLease()) {
+      session.orderLost(context.nowMillis());
+    }
+    if (life != session.life()) {
       return;
     }
     switch (answer) {
       case Listing listing -> {
         answeredAgain(session);
-        session.markEndAcknowledged(acknowledgedEnd);
-        reconciler.reconcile(session, pollSentMillis, listing);
-        acknowledgeOnceStored(session);
-        continuePolling(session);
+        if (belongsTo(session, listing)) {
+          session.firstAnswered(context.nowMillis());
+          life.markListed(sent.sentMillis());
+          life.markEndAcknowledged(sent.order().lastAcknowledgedEnd());
+          reconciler.reconcile(session, sent.sentMillis(), listing);
+          acknowledgeOnceStored(session);
+          continuePolling(session);
+        }
       }
       case Refused refused -> pollRefused(session, refused.reason());
       case Unanswered unanswered -> {
+        life.markInDoubt(context.nowMillis());
         countUnansweredPoll(session, "no-answer");
         schedulePollAfterFailure(session);
       }
     }
   }
 
+  /**
+   * Returns whether a list is of the life that was polled. If it is of another one, that one is the
+   * present life, because it answers a poll that was sent while the former one was.
+   */
+  private boolean belongsTo(WorkerSession session, Listing listing) {
+    WorkerLife life = session.life();
+    if (!life.isIncarnationKnown()) {
+      life.learnIncarnation(listing.incarnation());
+    }
+    if (listing.incarnation() == life.incarnation()) {
+      return true;
+    }
+    long incarnationBefore = life.incarnation();
+    session.beginLife(listing.incarnation(), listing.clockMillis(), context.nowMillis());
+    driver.workerRestarted(session, "poll", incarnationBefore);
+    return false;
+  }
+
   /** Counts a poll without an answer, after which the worker gets no work until it answers. */
   private void countUnansweredPoll(WorkerSession session, String cause) {
     session.countUnansweredPoll();
@@ -261,18 +326,18 @@
    * others.
    */
   private void acknowledgeOnceStored(WorkerSession session) {
-    if (!session.hasUnrecordedEnds()) {
+    WorkerLife life = session.life();
+    if (!life.hasUnrecordedEnds()) {
       return;
     }
-    long incarnation = session.incarnation();
-    long endNumber = session.lastSeenEnd();
+    long endNumber = life.lastSeenEnd();
     driver.whenStored(
         () -> {
-          if (session.incarnation() != incarnation) {
+          if (session.life() != life) {
             return;
           }
-          session.markEndRecorded(endNumber);
-          if (session.hasUnlistedEnds() && !closed && !session.isPolling()) {
+          life.markEndRecorded(endNumber);
+          if (life.hasUnlistedEnds() && !closed && !life.isPolling()) {
             poll(session);
           } else {
             pollIfNeeded(session);
@@ -281,7 +346,7 @@
   }
 
   private void continuePolling(WorkerSession session) {
-    if (session.hasUnrecordedEnds()) {
+    if (session.life().hasUnrecordedEnds()) {
       schedulePoll(session, UNRECORDED_END_POLL_DELAY_MILLIS);
     } else {
       pollIfNeeded(session);
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkerSession.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerSession.java
@@ -8,31 +8,30 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * The leader's state for one worker: the members that may run on it, the lease that covers them,
- * and which ends of runs have been seen, stored, and acknowledged. Times are in milliseconds of the
- * leader's monotonic clock, unless stated otherwise.
+ * The leader's state for one worker: its present life, the members that may run on it, and until
+ * when they may. Times are in milliseconds of the leader's monotonic clock, unless stated
+ * otherwise.
+ *
+ * <p>An order that was made for one life may be carried out by the next one, which takes the end of
+ * its lease for a time on its own clock and shortens it to the longest lease only. What such an
+ * order grants is counted from its latest arrival, see {@link #firstAnswered} and {@link
+ * #orderLost}.
  */
 final class WorkerSession {
-  /** The minimum rate of a worker's clock relative to the clock of the leader. */
-  private static final double MINIMUM_CLOCK_RATE = 0.97;
-
   /** Added to the end of each lease before it counts as expired. */
   private static final long LEASE_MARGIN_MILLIS = 300;
 
+  /** How long after the leader has given an order up the order may still reach a worker. */
+  static final long LOST_ORDER_MARGIN_MILLIS = 1_000;
+
+  private final FencingTokens fencingTokens;
+  private final long longestLeaseMillis;
   private final Map<String, Member> members = new LinkedHashMap<>();
   private WorkerRegistration registration;
+  private WorkerLife life;
+  private boolean restarted;
   private boolean registered = true;
-
-  /** From when on the worker runs at its speed, in milliseconds of the worker's clock. */
-  private long warmFromMillis;
-
-  private long incarnation;
-
-  /** When the clock of the worker was last read. */
-  private long clockReadMillis;
-
-  /** The last reading of the clock of the worker, in milliseconds of that clock. */
-  private long workerClockMillis;
+  private boolean closed;
 
   /**
    * When the last lease expires on a clock that runs at the rate of the leader's clock, including
@@ -40,19 +39,32 @@
    */
   private long latestLeaseEndMillis;
 
-  private long lastSeenEnd;
-  private long lastRecordedEnd;
-  private long lastAcknowledgedEnd;
-  private boolean polling;
+  /** When the lease of an order has certainly expired that was not answered, in any life. */
+  private long lostOrderEndMillis;
+
   private @Nullable ScheduledFuture<?> scheduledPoll;
-  private boolean unlistedEnds;
   private int unansweredPolls;
 
-  WorkerSession(WorkerRegistration registration, long nowMillis) {
+  /**
+   * Creates the session of a worker that this leader has sent no order.
+   *
+   * @param maximumLeaseMillis the longest lease that the worker accepts
+   */
+  WorkerSession(
+      WorkerRegistration registration,
+      FencingTokens fencingTokens,
+      long maximumLeaseMillis,
+      long nowMillis) {
     this.registration = registration;
-    this.incarnation = registration.incarnation();
-    startClock(registration.clockMillis(), nowMillis);
-    recordWarmUp();
+    this.fencingTokens = fencingTokens;
+    this.longestLeaseMillis = (long) (maximumLeaseMillis / WorkerLife.MINIMUM_CLOCK_RATE);
+    this.life =
+        WorkerLife.known(
+            fencingTokens.next(),
+            registration.incarnation(),
+            registration.clockMillis(),
+            nowMillis);
+    life.recordWarmUp(registration);
   }
 
   String id() {
@@ -63,8 +75,13 @@
     return registration;
   }
 
+  /** Returns the present life, as far as the leader knows. */
+  WorkerLife life() {
+    return life;
+  }
+
   long incarnation() {
-    return incarnation;
+    return life.incarnation();
   }
 
   boolean isRegistered() {
@@ -75,74 +92,68 @@
     registered = false;
   }
 
-  /** Updates the registration. Returns whether the worker has a new incarnation. */
+  /** Updates the registration. Returns whether it tells of a new life. */
   boolean update(WorkerRegistration next, long nowMillis) {
     registered = true;
     registration = next;
-    if (next.incarnation() > incarnation) {
-      beginIncarnation(next.incarnation(), next.clockMillis(), nowMillis);
-      recordWarmUp();
-      return true;
+    if (next.incarnation() > life.incarnation()) {
+      if (life.isIncarnationKnown()) {
+        beginLife(next.incarnation(), next.clockMillis(), nowMillis);
+        life.recordWarmUp(next);
+        return true;
+      }
+      life.learnIncarnation(next.incarnation());
     }
-    if (next.incarnation() == incarnation) {
-      recordClock(next.clockMillis(), nowMillis);
-      recordWarmUp();
+    if (life.isIncarnationKnown() && next.incarnation() == life.incarnation()) {
+      life.recordClock(next.clockMillis(), nowMillis);
+      life.recordWarmUp(next);
     }
     return false;
   }
 
-  private void recordWarmUp() {
-    if (registration.coldRemainingMillis() > 0) {
-      warmFromMillis = registration.clockMillis() + registration.coldRemainingMillis();
-    }
+  /** Records that the worker has started again. */
+  void beginLife(long incarnation, long clockMillis, long nowMillis) {
+    begin(WorkerLife.known(fencingTokens.next(), incarnation, clockMillis, nowMillis));
   }
 
-  /**
-   * Records that the worker has restarted, and resets the end numbers, which are counted per
-   * incarnation.
-   */
-  void beginIncarnation(long nextIncarnation, long clockMillis, long nowMillis) {
-    incarnation = nextIncarnation;
-    lastSeenEnd = 0;
-    lastRecordedEnd = 0;
-    lastAcknowledgedEnd = 0;
-    unlistedEnds = false;
-    warmFromMillis = 0;
-    startClock(clockMillis, nowMillis);
+  /** Records that the worker must have started again, because its clock shows too little. */
+  void beginUnknownLife(long clockMillis, long nowMillis) {
+    begin(WorkerLife.unknown(fencingTokens.next(), life.incarnation(), clockMillis, nowMillis));
   }
 
-  private void startClock(long clockMillis, long nowMillis) {
-    workerClockMillis = clockMillis;
-    clockReadMillis = nowMillis;
+  private void begin(WorkerLife next) {
+    life = next;
+    restarted = true;
+    cancelScheduledPoll();
   }
 
-  /**
-   * Records a reading of the worker's clock that was taken at {@code nowMillis} or earlier. A
-   * reading that tells less than the earlier ones, because it has been delayed, is ignored.
-   */
-  void recordClock(long clockMillis, long nowMillis) {
-    if (clockMillis >= workerTimeMillis(nowMillis)) {
-      startClock(clockMillis, nowMillis);
-    }
-  }
-
-  /** Grants a lease. Returns when it expires, in milliseconds of the worker's clock. */
-  long grantLease(long untilMillis, long nowMillis) {
-    extendLatestLeaseEnd(untilMillis);
-    return workerTimeMillis(nowMillis) + untilMillis - nowMillis;
+  /** Returns whether the worker has started again and has not listed its runs since. */
+  boolean awaitsFirstList() {
+    return restarted && !life.hasListed();
   }
 
   /**
-   * Returns the time that the worker's clock shows at least, even if it has run at the minimum rate
-   * since its last reading.
+   * Returns whether new work may be placed on the worker: not while it is silent, and not before
+   * its new life has answered, because orders for the former one may still take effect there.
    */
+  boolean isAvailable() {
+    return registered && unansweredPolls == 0 && !awaitsFirstList();
+  }
+
+  /** Returns the time that the worker's clock shows at least. */
   long workerTimeMillis(long nowMillis) {
-    return workerClockMillis + (long) ((nowMillis - clockReadMillis) * MINIMUM_CLOCK_RATE);
+    return life.timeMillis(nowMillis);
   }
 
   /** Returns whether the worker was still slow from its start at a time of its own clock. */
   boolean isCold(long workerMillis) {
-    return workerMillis < warmFromMillis;
+    return life.isCold(workerMillis);
+  }
+
+  /** Grants a lease. Returns when it expires, in milliseconds of the worker's clock. */
+  long grantLease(long untilMillis, long nowMillis) {
+    extendLatestLeaseEnd(untilMillis);
+    return life.timeMillis(nowMillis) + untilMillis - nowMillis;
   }
 
   /** Records that the worker may hold a lease until the given time. */
@@ -150,6 +161,28 @@
     latestLeaseEndMillis = Math.max(latestLeaseEndMillis, untilMillis + LEASE_MARGIN_MILLIS);
   }
 
+  /**
+   * Records that the present life has answered an order. From its first answer on it refuses orders
+   * that were made for former lives or by earlier leaders; what those have granted before ends a
+   * longest lease later.
+   */
+  void firstAnswered(long nowMillis) {
+    if (!life.hasAnswered()) {
+      life.markAnswered();
+      extendLatestLeaseEnd(nowMillis + longestLeaseMillis);
+    }
+  }
+
+  /**
+   * Records that an order that grants a lease was given up without an answer, or was answered by
+   * another life than it was made for.
+   */
+  void orderLost(long nowMillis) {
+    long endMillis =
+        nowMillis + LOST_ORDER_MARGIN_MILLIS + longestLeaseMillis + LEASE_MARGIN_MILLIS;
+    lostOrderEndMillis = Math.max(lostOrderEndMillis, endMillis);
+  }
+
   /**
    * Returns whether every lease of the worker has certainly expired, even if its clock runs at the
    * minimum rate.
@@ -157,10 +190,19 @@
    * @param leaseMillis the duration of a lease
    */
   boolean haveLeasesExpired(long nowMillis, long leaseMillis) {
-    long driftMillis = (long) (leaseMillis / MINIMUM_CLOCK_RATE) - leaseMillis;
+    long driftMillis = (long) (leaseMillis / WorkerLife.MINIMUM_CLOCK_RATE) - leaseMillis;
     return nowMillis > latestLeaseEndMillis + driftMillis;
   }
 
+  /**
+   * Returns whether a member has certainly ended on a silent worker. One whose start order was lost
+   * may run in a life that the leader does not know, by a lease that was not made for it.
+   */
+  boolean hasCertainlyEnded(Member member, long nowMillis, long leaseMillis) {
+    return haveLeasesExpired(nowMillis, leaseMillis)
+        && (!member.hasLostStart() || nowMillis > lostOrderEndMillis);
+  }
+
   Collection<Member> members() {
     return members.values();
   }
@@ -177,48 +219,34 @@
     members.remove(member.task(), member);
   }
 
-  long lastSeenEnd() {
-    return lastSeenEnd;
-  }
-
-  void markEndSeen(long endNumber) {
-    lastSeenEnd = Math.max(lastSeenEnd, endNumber);
-  }
-
-  void markEndRecorded(long endNumber) {
-    lastRecordedEnd = Math.max(lastRecordedEnd, endNumber);
-  }
-
-  long lastRecordedEnd() {
-    return lastRecordedEnd;
-  }
-
-  void markEndAcknowledged(long endNumber) {
-    lastAcknowledgedEnd = Math.max(lastAcknowledgedEnd, endNumber);
+  /** Returns whether the worker has left, and nothing is to be learned or told there any more. */
+  boolean isObsolete() {
+    boolean hasNews = life.hasUnacknowledgedEnds() && unansweredPolls == 0;
+    return !registered && members.isEmpty() && !hasNews;
   }
 
-  boolean hasUnacknowledgedEnds() {
-    return lastRecordedEnd > lastAcknowledgedEnd;
+  /**
+   * Ends this session. If the worker registers again it gets a new one, whose fencing token is
+   * higher, so this one must not send it anything more.
+   */
+  void close() {
+    closed = true;
+    cancelScheduledPoll();
   }
 
-  boolean hasUnrecordedEnds() {
-    return lastSeenEnd > lastRecordedEnd;
+  boolean isClosed() {
+    return closed;
   }
 
   /**
    * Returns whether the worker has to be polled. A registered worker that left its last poll
-   * unanswered gets no work, so it is polled until it answers.
+   * unanswered, or that has started again, gets no work, so it is polled until it answers.
    */
   boolean needsPoll() {
-    return !members.isEmpty() || hasUnacknowledgedEnds() || (registered && unansweredPolls > 0);
-  }
-
-  boolean isPolling() {
-    return polling;
-  }
-
-  void setPolling(boolean newPolling) {
-    polling = newPolling;
+    return !closed
+        && (!members.isEmpty()
+            || life.hasUnacknowledgedEnds()
+            || (registered && (unansweredPolls > 0 || awaitsFirstList())));
   }
 
   boolean isPollScheduled() {
@@ -237,15 +265,6 @@
     }
   }
 
-  /** Returns whether the worker had more unacknowledged ends than its last answer listed. */
-  boolean hasUnlistedEnds() {
-    return unlistedEnds;
-  }
-
-  void setUnlistedEnds(boolean newUnlistedEnds) {
-    unlistedEnds = newUnlistedEnds;
-  }
-
   int unansweredPolls() {
     return unansweredPolls;
   }
--- a/src/test/java/io/dragonflyturn/internal/dispatch/WorkerSessionTest.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/WorkerSessionTest.java
@@ -10,9 +10,11 @@
 class WorkerSessionTest {
   private static final long START_MILLIS = 10_000;
   private static final long LEASE_MILLIS = 6_000;
+  private static final long MAXIMUM_LEASE_MILLIS = 10_000;
   private static final double SLOW_RATE = 0.98;
 
-  private final WorkerSession session = new WorkerSession(registration(0), START_MILLIS);
+  private final WorkerSession session =
+      new WorkerSession(registration(0), new FencingTokens(1), MAXIMUM_LEASE_MILLIS, START_MILLIS);
 
   /** A task started on a worker that had been idle for a minute outlived its lease by a second. */
   @Test
@@ -36,7 +38,7 @@
   @Test
   void should_ignore_a_clock_reading_that_was_delayed() {
     long now = START_MILLIS + 60_000;
-    session.recordClock(60_000, now);
+    session.life().recordClock(60_000, now);
 
     session.update(registration(20_000), now);
 
@@ -47,7 +49,7 @@
   void should_start_from_the_clock_of_a_new_incarnation() {
     long now = START_MILLIS + 60_000;
 
-    session.beginIncarnation(2, 300, now);
+    session.beginLife(2, 300, now);
 
     assertThat(session.workerTimeMillis(now)).isEqualTo(300);
   }
