Describe the lives of a worker, and wait after a take-over for what a long lease grants

A successor waited 12 s for workers that it can't reach, whatever the longest lease; it waits for a second and the longest lease if that is more, which it is on no deployment so far.

--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkerFleet.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerFleet.java
@@ -78,7 +78,7 @@
       session.markUnregistered();
       sessions.put(placement.worker(), session);
     }
-    session.extendLatestLeaseEnd(LeadershipLease.endOfEarlierLeasesMillis(electedMillis));
+    session.expectEarlierOrders(electedMillis);
     return session;
   }
 
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkerSession.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerSession.java
@@ -161,6 +161,17 @@
     latestLeaseEndMillis = Math.max(latestLeaseEndMillis, untilMillis + LEASE_MARGIN_MILLIS);
   }
 
+  /**
+   * Records that an earlier leader placed members here. Its last orders may have reached any life,
+   * like those that this leader loses.
+   *
+   * @param electedMillis when this leader learned of its election
+   */
+  void expectEarlierOrders(long electedMillis) {
+    extendLatestLeaseEnd(LeadershipLease.endOfEarlierLeasesMillis(electedMillis));
+    extendLatestLeaseEnd(electedMillis + LOST_ORDER_MARGIN_MILLIS + longestLeaseMillis);
+  }
+
   /**
    * Records that the present life has answered an order. From its first answer on it refuses orders
    * that were made for former lives or by earlier leaders; what those have granted before ends a
--- a/src/main/java/io/dragonflyturn/internal/fleet/OrderAnswer.java
+++ b/src/main/java/io/dragonflyturn/internal/fleet/OrderAnswer.java
@@ -21,7 +21,10 @@
 
   /** Why a worker refused an order. */
   enum Reason {
-    /** The worker has accepted an order with a higher fencing token. */
+    /**
+     * The worker has accepted an order with a higher fencing token: of a later leader, or of this
+     * one, for a later life of the worker.
+     */
     FENCED,
     /**
      * This run or a later run of the task has already been started, stopped or ended on the worker.
--- a/src/main/java/io/dragonflyturn/internal/fleet/PollOrder.java
+++ b/src/main/java/io/dragonflyturn/internal/fleet/PollOrder.java
@@ -9,7 +9,8 @@
  *     reporting ends up to it
  * @param waitMillis the long-poll timeout: how long the worker may wait for a run to end before it
  *     answers, in milliseconds
- * @param fence the fencing token of the leader
+ * @param fence the fencing token of the term and of the life of the worker that the order is made
+ *     for
  */
 public record PollOrder(
     long leaseUntilMillis, long lastAcknowledgedEnd, long waitMillis, long fence) {
--- a/src/main/java/io/dragonflyturn/internal/fleet/StartOrder.java
+++ b/src/main/java/io/dragonflyturn/internal/fleet/StartOrder.java
@@ -8,7 +8,8 @@
  * @param specification the caller's specification, which is passed to the task
  * @param checkpoint the checkpoint to resume from; empty to start from the beginning
  * @param leaseUntilMillis when the lease expires, in milliseconds of the worker's monotonic clock
- * @param fence the fencing token of the leader
+ * @param fence the fencing token of the term and of the life of the worker that the order is made
+ *     for
  */
 public record StartOrder(
     String task,
--- a/src/main/java/io/dragonflyturn/internal/fleet/StopOrder.java
+++ b/src/main/java/io/dragonflyturn/internal/fleet/StopOrder.java
@@ -5,6 +5,7 @@
  *
  * @param task the full name of the task
  * @param runNumber the run number of the task
- * @param fence the fencing token of the leader
+ * @param fence the fencing token of the term and of the life of the worker that the order is made
+ *     for
  */
 public record StopOrder(String task, int runNumber, long fence) {}
