--- a/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
@@ -1,11 +1,9 @@
 package io.dragonflyturn.internal.dispatch;
 
 import io.dragonflyturn.internal.dispatch.RunLoader.LoadedRuns;
-import io.dragonflyturn.internal.ledger.KeyedRecord;
 import io.dragonflyturn.internal.ledger.SequencedWriter;
 import io.dragonflyturn.internal.ledger.WriteResult;
 import io.dragonflyturn.internal.workload.JobState;
-import io.dragonflyturn.internal.workload.WorkloadCodec;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -18,16 +16,11 @@
  * workers, and follows it until it ends. Each term has its own object.
  */
 final class LeaderTerm implements RunDriver.Listener {
-  private static final long HEARTBEAT_INTERVAL_MILLIS = 500;
-
-  /** How long the records of an ended job are kept, so that callers can still read its state. */
-  private static final long ENDED_JOB_RETENTION_MILLIS = 300_000;
-
   private final DispatchContext context;
   private final long term;
   private final Consumer<String> onUnable;
   private final LeadershipLease leadershipLease;
-  private final SequencedWriter jobsWriter;
+  private final JobRecords jobRecords;
   private final SequencedWriter runsWriter;
   private final RunDriver driver;
   private final PaceObserver paces;
@@ -41,7 +34,6 @@
   private boolean ready;
   private boolean leasesShortened;
   private boolean closed;
-  private long lastWriteMillis;
   private final long startedMillis;
 
   /**
@@ -61,8 +53,9 @@
     this.term = term;
     this.onUnable = onUnable;
     this.startedMillis = context.nowMillis();
-    this.lastWriteMillis = startedMillis;
-    jobsWriter = writer(LedgerKeys.JOBS_TOPIC, nextSequence);
+    jobRecords =
+        new JobRecords(
+            context, term, writer(LedgerKeys.JOBS_TOPIC, nextSequence), jobs::containsKey, this);
     long firstSequence = ThreadLocalRandom.current().nextInt(1, Integer.MAX_VALUE / 2);
     runsWriter = writer(LedgerKeys.RUNS_TOPIC, firstSequence);
     WorkerHealth health = new WorkerHealth(context.monotonicClock());
@@ -92,7 +85,7 @@
   /** Fences the runs topic against earlier leaders, then loads the stored runs. */
   void start() {
     runsWriter
-        .write(leadershipRecord(false))
+        .write(jobRecords.leadershipRecord(false))
         .thenAccept(
             result -> {
               if (result == WriteResult.STORED) {
@@ -112,7 +105,7 @@
     poller.close();
     paces.close();
     runLoader.close();
-    jobsWriter.close();
+    jobRecords.close();
     runsWriter.close();
     context.workerFeed().stop();
   }
@@ -123,12 +116,7 @@
    * @param onStored called when the write of the release has completed
    */
   void release(Runnable onStored) {
-    jobsWriter.write(leadershipRecord(true)).thenAccept(result -> onStored.run());
-  }
-
-  private KeyedRecord leadershipRecord(boolean released) {
-    LeadershipRecord record = new LeadershipRecord(term, context.instance(), released);
-    return new KeyedRecord(LedgerKeys.LEADER, record.encode());
+    jobRecords.release(onStored);
   }
 
   boolean isReady() {
@@ -206,44 +194,13 @@
     }
   }
 
-  /** Records a new state of a job, unless it already has this state or has ended. */
-  private void recordState(ActiveJob job, JobState state) {
-    if (job.entry().recordedState() == state || job.entry().recordedState().isTerminal()) {
-      return;
-    }
-    job.entry().transitionTo(state, context.nowMillis());
-    context
-        .events()
-        .event("job-" + state)
-        .with("job", job.id())
-        .with("queue", job.submission().queue().name())
-        .with("sinceReceivedMillis", context.nowMillis() - job.receivedMillis())
-        .with("term", term)
-        .write();
-    writeJobs(new KeyedRecord(LedgerKeys.state(job.id()), WorkloadCodec.encodeJobState(state)));
-  }
-
-  private void writeJobs(KeyedRecord change) {
-    lastWriteMillis = context.nowMillis();
-    jobsWriter
-        .write(change)
-        .thenAccept(
-            result -> {
-              if (result == WriteResult.INVALID) {
-                recordNotAccepted();
-              } else if (result == WriteResult.FENCED) {
-                fenced();
-              }
-            });
-  }
-
   /**
    * Advances the state of a job after a change, and removes the job when it has ended and has no
    * runs.
    */
   private void updateJob(ActiveJob job) {
     if (job.entry().isCancelled()) {
-      recordState(job, JobState.CANCELLED);
+      jobRecords.recordState(job, JobState.CANCELLED);
     }
     if (job.isEnding()) {
       if (job.hasNoRuns()) {
@@ -254,7 +211,7 @@
     for (WorkUnit unit : job.units()) {
       if (!unit.isDone() && hasUsedAllAttempts(unit)) {
         stopJob(job, "attempts-used");
-        recordState(job, JobState.FAILED);
+        jobRecords.recordState(job, JobState.FAILED);
         return;
       }
     }
@@ -262,7 +219,7 @@
         occurrence < job.submission().recurrence().occurrences();
         occurrence++) {
       if (job.removeOccurrenceIfDone(occurrence)) {
-        recordState(job, JobState.COMPLETED);
+        jobRecords.recordState(job, JobState.COMPLETED);
         job.markEnding();
         jobs.remove(job.id());
         return;
@@ -278,7 +235,7 @@
   @Override
   public void memberActive(Member member) {
     if (member.state() == Member.State.CONFIRMED) {
-      recordState(member.unit().job(), JobState.RUNNING);
+      jobRecords.recordState(member.unit().job(), JobState.RUNNING);
     }
     poller.pollIfNeeded(member.session());
   }
@@ -323,7 +280,7 @@
         .with("term", term)
         .write();
     stopJob(job, cause);
-    recordState(job, JobState.FAILED);
+    jobRecords.recordState(job, JobState.FAILED);
     updateJob(job);
   }
 
@@ -346,7 +303,7 @@
   void tick() {
     logShortenedLeases();
     startIfLoaded();
-    writeHeartbeatIfDue();
+    jobRecords.writeHeartbeatIfDue();
     if (!ready) {
       return;
     }
@@ -367,33 +324,6 @@
         .write();
   }
 
-  /**
-   * Writes a leadership record if nothing was written for the heartbeat interval, so that no other
-   * instance proposes itself.
-   */
-  private void writeHeartbeatIfDue() {
-    if (context.nowMillis() - lastWriteMillis < HEARTBEAT_INTERVAL_MILLIS || !jobsWriter.isIdle()) {
-      return;
-    }
-    writeJobs(leadershipRecord(false));
-    removeExpiredJobs();
-  }
-
-  private void removeExpiredJobs() {
-    for (JobEntry entry : List.copyOf(context.directory().jobs())) {
-      boolean expired =
-          entry.endedAtMillis() != 0
-              && context.nowMillis() - entry.endedAtMillis() > ENDED_JOB_RETENTION_MILLIS
-              && !jobs.containsKey(entry.submission().id());
-      if (expired) {
-        String id = entry.submission().id();
-        writeJobs(new KeyedRecord(LedgerKeys.state(id), null));
-        writeJobs(new KeyedRecord(LedgerKeys.cancellation(id), null));
-        writeJobs(new KeyedRecord(LedgerKeys.submission(id), null));
-      }
-    }
-  }
-
   private void requestRound() {
     placementLoop.request();
   }
