--- a/src/main/java/io/dragonflyturn/command/Main.java
+++ b/src/main/java/io/dragonflyturn/command/Main.java
@@ -19,7 +19,6 @@
 public final class Main {
   private static final List<String> HELP_WORDS = List.of("--help", "-h", "help");
   private static final String JSON_FLAG = "--json";
-  private static final String SLF4J_VERBOSITY_PROPERTY = "slf4j.internal.verbosity";
 
   private final CommandContext context;
 
@@ -30,7 +29,6 @@
 
   /** Runs one command and exits the process with its exit status. */
   public static void main(String[] arguments) {
-    System.setProperty(SLF4J_VERBOSITY_PROPERTY, "ERROR");
     CommandContext context =
         new CommandContext(System.out, System.err, System.getenv(), Clock.systemUTC());
     System.exit(new Main(context).run(arguments));
--- a/src/main/java/io/dragonflyturn/internal/logging/LogSetup.java
+++ b/src/main/java/io/dragonflyturn/internal/logging/LogSetup.java
@@ -18,9 +18,15 @@
 public final class LogSetup {
   private static final String TEXT_PATTERN = "%d{HH:mm:ss.SSS} %-5p %c{1} %s%e%n";
 
+  /** Held here, as a logger that nobody refers to may lose its level. */
+  private static final Logger JETTY = Logger.getLogger("org.eclipse.jetty");
+
   private LogSetup() {}
 
-  /** Replaces all log handlers with one that writes to standard error, at level INFO. */
+  /**
+   * Replaces all log handlers with one that writes to standard error, at level INFO; Jetty, which
+   * reports each start and stop of its parts, at level WARNING.
+   */
   public static void apply(LogFormat format) {
     Logger root = Logger.getLogger("");
     for (Handler handler : root.getHandlers()) {
@@ -28,6 +34,7 @@
     }
     root.addHandler(createHandler(format));
     root.setLevel(Level.INFO);
+    JETTY.setLevel(Level.WARNING);
   }
 
   private static Handler createHandler(LogFormat format) {
--- a/src/test/java/io/dragonflyturn/scenario/ChildProcess.java
+++ b/src/test/java/io/dragonflyturn/scenario/ChildProcess.java
@@ -22,6 +22,7 @@
           "-XX:+UseSerialGC",
           "-XX:TieredStopAtLevel=1",
           "-Xss256k",
+          "-Dmsgpack.universal-buffer=true",
           "-Djava.util.logging.manager=org.jboss.logmanager.LogManager");
 
   private static final Set<Process> RUNNING = new HashSet<>();
