Name the incarnation of a worker in the orders for its gang members

What callers could see: a gang job that had been stopped or had ended ran again on a worker that had started anew under its name, beside the next attempt elsewhere. Or a start was refused there, because a reservation that nobody wanted held the accelerators.

Cause: the fencing token and the sequence number, which keep late exchanges from taking effect, are kept by the worker and lost when it restarts. An exchange named the worker only by its address. A reservation and a start that were unanswered, sent again, and answered by one life of the worker could still arrive in the next, which had seen neither number and carried them out. The leader counted the attempt as ended by the report of the former life.

The simulated network of GangProperties dropped messages to a worker that had restarted, so no property could find it; they now reach the new life.

Why it works: a worker reports its incarnation, and carries out only the commands that name it. A leader that knows none asks first with an empty exchange (one round trip for a worker that it meets), and what it sent to an earlier incarnation has certainly not taken effect in the later one, whatever arrives and when. The lease that such an order would have granted is no longer counted. `gang.workers.restarted` counts the changes.

No stored field changes. A leader and a worker of different builds refuse each other's exchanges, because unknown fields are errors: nothing runs there until both are of one build.

--- a/src/main/java/io/dragonflyturn/internal/gang/GangDriver.java
+++ b/src/main/java/io/dragonflyturn/internal/gang/GangDriver.java
@@ -35,10 +35,15 @@
   private final Counter unansweredCount;
   private final Counter fencedCount;
   private final Counter lostMemberCount;
+  private final Counter restartedCount;
 
   private final ReentrantLock lock = new ReentrantLock();
   private final Map<AttemptKey, GangStateMachine> gangs = new LinkedHashMap<>();
   private final Map<String, WorkerChannel> channels = new HashMap<>();
+
+  /** The incarnations that the workers last reported, by worker. */
+  private final Map<String, String> incarnations = new HashMap<>();
+
   private Map<String, String> addresses = Map.of();
   private Predicate<String> mayStart = jobId -> false;
   private long term;
@@ -71,6 +76,7 @@
     unansweredCount = metrics.counter("gang.exchanges.unanswered");
     fencedCount = metrics.counter("gang.exchanges.fenced");
     lostMemberCount = metrics.counter("gang.members.lost");
+    restartedCount = metrics.counter("gang.workers.restarted");
   }
 
   /**
@@ -97,6 +103,7 @@
         term = currentTerm;
       }
       addresses = newAddresses;
+      incarnations.keySet().retainAll(newAddresses.keySet());
       mayStart = newMayStart;
       reconcile(placedGangs, adopting, nowMillis);
       gangs.values().forEach(gang -> advance(gang, nowMillis, callbacks));
@@ -123,6 +130,7 @@
     generation++;
     gangs.clear();
     channels.clear();
+    incarnations.clear();
   }
 
   private void reconcile(List<PlacedGang> placedGangs, boolean adopting, long nowMillis) {
@@ -188,11 +196,18 @@
     }
   }
 
-  /** Sends all due commands for a worker in one exchange, unless an exchange is in flight. */
+  /**
+   * Sends all due commands for a worker in one exchange, unless an exchange is in flight. A worker
+   * whose incarnation is unknown is asked for it first.
+   */
   private void sendDueCommands(WorkerChannel channel, long nowMillis) {
     if (channel.inFlight()) {
       return;
     }
+    if (!incarnations.containsKey(channel.worker())) {
+      askForIncarnation(channel, nowMillis);
+      return;
+    }
     boolean pollDue = channel.pollDue(nowMillis);
     boolean renew = pollDue && !channel.unresponsive();
     Map<ChannelMember, WorkerCommand> commands = new LinkedHashMap<>();
@@ -208,6 +223,12 @@
     }
   }
 
+  private void askForIncarnation(WorkerChannel channel, long nowMillis) {
+    if (channel.contactDue(nowMillis)) {
+      send(channel, Map.of(), List.of(), nowMillis);
+    }
+  }
+
   private @Nullable WorkerCommand commandFor(
       ChannelMember channelMember, boolean renew, long nowMillis) {
     String jobId = channelMember.stateMachine().placedGang().job().id();
@@ -228,7 +249,7 @@
     String address = addresses.get(channel.worker());
     if (address == null) {
       channel.recordNoAnswer(timings, nowMillis);
-      channel.removeCleanupCommands(cleanupCommands);
+      channel.removeCleanupCommands(channel.cleanupCommands());
       return;
     }
     List<WorkerCommand> allCommands = new ArrayList<>(commands.values());
@@ -238,8 +259,10 @@
     channel.recordSent();
     exchangeCount.inc();
     long sentGeneration = generation;
+    String incarnation = incarnations.getOrDefault(channel.worker(), "");
+    WorkerExchange exchange = new WorkerExchange(term, ++sequence, incarnation, allCommands);
     client
-        .exchange(address, new WorkerExchange(term, ++sequence, allCommands))
+        .exchange(address, exchange)
         .whenCompleteAsync(
             (report, failure) -> receive(channel, cleanupCommands, sentGeneration, report, failure),
             executor);
@@ -289,6 +312,7 @@
       List<WorkerCommand> cleanupCommands,
       WorkerReport report,
       long nowMillis) {
+    recordIncarnation(channel, report.incarnation());
     Map<MemberKey, TaskReport> tasks = new HashMap<>();
     report.tasks().forEach(task -> tasks.put(MemberKey.of(task), task));
     for (ChannelMember channelMember : channel.members()) {
@@ -302,6 +326,15 @@
     channel.recordAnswer(timings, nowMillis);
   }
 
+  /** Records the worker's incarnation. A new one did not carry out what was sent to the earlier. */
+  private void recordIncarnation(WorkerChannel channel, String incarnation) {
+    String previous = incarnations.put(channel.worker(), incarnation);
+    if (previous != null && !previous.equals(incarnation)) {
+      restartedCount.inc();
+      channel.members().forEach(channelMember -> channelMember.member().recordNoAnswer(false));
+    }
+  }
+
   /** Queues the command that stops or forgets a task that belongs to no placed gang. */
   private static void cleanUpOrphanedTask(WorkerChannel channel, TaskReport task) {
     WorkerCommand command =
--- a/src/main/java/io/dragonflyturn/internal/gang/MemberLease.java
+++ b/src/main/java/io/dragonflyturn/internal/gang/MemberLease.java
@@ -5,7 +5,8 @@
  *
  * <p>A worker accepts an extension only while the previous lease is valid, so each unanswered
  * extension can move the expiry by at most its own duration, however late it arrives. Once a later
- * message is answered, the worker ignores the earlier ones because of their sequence numbers.
+ * message is answered, the worker ignores the earlier ones because of their sequence numbers, and a
+ * worker that has restarted since ignores them because they are for its earlier incarnation.
  */
 final class MemberLease {
   private static final long NONE_MILLIS = Long.MIN_VALUE;
--- a/src/main/java/io/dragonflyturn/internal/gang/WorkerChannel.java
+++ b/src/main/java/io/dragonflyturn/internal/gang/WorkerChannel.java
@@ -46,7 +46,12 @@
   }
 
   boolean pollDue(long nowMillis) {
-    return !members.isEmpty() && nowMillis >= nextPollMillis;
+    return !members.isEmpty() && contactDue(nowMillis);
+  }
+
+  /** Returns whether the pause after the last exchange is over. */
+  boolean contactDue(long nowMillis) {
+    return nowMillis >= nextPollMillis;
   }
 
   /** Adds a command for a task that belongs to no placed gang. */
--- a/src/main/java/io/dragonflyturn/internal/gang/WorkerReport.java
+++ b/src/main/java/io/dragonflyturn/internal/gang/WorkerReport.java
@@ -1,17 +1,21 @@
 package io.dragonflyturn.internal.gang;
 
 import java.util.List;
+import java.util.Objects;
 
 /**
  * A worker's answer to an exchange.
  *
  * @param worker the name of the worker
+ * @param incarnation the incarnation of the worker, unique for each start
  * @param fenced whether the exchange was rejected because its fencing token is too low
  * @param tasks the state of all tasks that the worker knows
  */
-public record WorkerReport(String worker, boolean fenced, List<TaskReport> tasks) {
+public record WorkerReport(
+    String worker, String incarnation, boolean fenced, List<TaskReport> tasks) {
   /** Creates an instance with an immutable copy of the tasks. */
   public WorkerReport {
+    Objects.requireNonNull(incarnation);
     tasks = List.copyOf(tasks);
   }
 
--- a/src/main/java/io/dragonflyturn/standin/TaskTable.java
+++ b/src/main/java/io/dragonflyturn/standin/TaskTable.java
@@ -21,6 +21,7 @@
  */
 public final class TaskTable {
   private final String worker;
+  private final String incarnation;
   private final long checkpointMillis;
   private final BooleanSupplier failing;
   private final Map<TaskKey, WorkerTask> tasks = new LinkedHashMap<>();
@@ -34,11 +35,14 @@
    * Creates an empty table.
    *
    * @param worker the name of the worker
+   * @param incarnation the incarnation of the worker, unique for each start
    * @param checkpointMillis the checkpoint interval of checkpointable tasks, in milliseconds
    * @param failing returns whether a task that starts now fails
    */
-  public TaskTable(String worker, long checkpointMillis, BooleanSupplier failing) {
+  public TaskTable(
+      String worker, String incarnation, long checkpointMillis, BooleanSupplier failing) {
     this.worker = worker;
+    this.incarnation = incarnation;
     this.checkpointMillis = checkpointMillis;
     this.failing = failing;
   }
@@ -46,20 +50,23 @@
   /**
    * Applies the commands of an exchange and reports all tasks. Refuses the exchange if its fence is
    * below the highest seen. For an equal fence, ignores the commands if the sequence number is not
-   * above the highest seen, so that a repeated exchange has no effect.
+   * above the highest seen, so that a repeated exchange has no effect, or if they are for another
+   * incarnation of the worker.
    */
   public synchronized WorkerReport exchange(WorkerExchange exchange, long nowMillis) {
     advance(nowMillis);
     if (exchange.fence() < highestFence) {
-      return new WorkerReport(worker, true, reports());
+      return new WorkerReport(worker, incarnation, true, reports());
     }
     if (exchange.fence() > highestFence || exchange.sequence() > highestSequence) {
       highestFence = exchange.fence();
       highestSequence = exchange.sequence();
-      exchange.commands().forEach(command -> apply(command, nowMillis));
-      advance(nowMillis);
+      if (incarnation.equals(exchange.incarnation())) {
+        exchange.commands().forEach(command -> apply(command, nowMillis));
+        advance(nowMillis);
+      }
     }
-    WorkerReport report = new WorkerReport(worker, false, reports());
+    WorkerReport report = new WorkerReport(worker, incarnation, false, reports());
     refusals.clear();
     return report;
   }
--- a/src/main/java/io/dragonflyturn/standin/WorkerStandin.java
+++ b/src/main/java/io/dragonflyturn/standin/WorkerStandin.java
@@ -6,6 +6,7 @@
 import io.dragonflyturn.model.Worker;
 import java.time.InstantSource;
 import java.util.Map;
+import java.util.UUID;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.ServerConnector;
 
@@ -28,7 +29,9 @@
     this.settings = settings;
     this.clock = clock;
     faults = new WorkerFaultState(settings.serviceMillis());
-    tasks = new TaskTable(settings.name(), settings.checkpointMillis(), faults::failTasks);
+    String incarnation = settings.name() + "." + UUID.randomUUID();
+    tasks =
+        new TaskTable(settings.name(), incarnation, settings.checkpointMillis(), faults::failTasks);
     requests = new RequestExecutor(settings.requestSlots(), faults, clock);
     connector = server.add(settings.port(), this::serve);
   }
--- a/src/test/java/io/dragonflyturn/internal/gang/SimulatedWorkers.java
+++ b/src/test/java/io/dragonflyturn/internal/gang/SimulatedWorkers.java
@@ -55,7 +55,7 @@
     worker(worker).frozenUntilMillis = untilMillis;
   }
 
-  /** Restarts a worker without its state; messages to the old process are lost. */
+  /** Restarts a worker without its state; messages to the old process may reach the new one. */
   void restart(String worker) {
     worker(worker).restart();
   }
@@ -69,14 +69,13 @@
   public CompletableFuture<WorkerReport> exchange(String address, WorkerExchange exchange) {
     CompletableFuture<WorkerReport> answer = new CompletableFuture<>();
     SimulatedWorker worker = worker(address);
-    TaskTable receiver = worker.table;
     if (!faultOccurs()) {
-      schedule(nowMillis + randomDelayMillis(), () -> deliver(worker, receiver, exchange, answer));
+      schedule(nowMillis + randomDelayMillis(), () -> deliver(worker, exchange, answer));
     }
     if (faultOccurs()) {
       schedule(
           nowMillis + randomDelayMillis(),
-          () -> deliver(worker, receiver, exchange, new CompletableFuture<>()));
+          () -> deliver(worker, exchange, new CompletableFuture<>()));
     }
     schedule(
         nowMillis + TIMEOUT_MILLIS,
@@ -113,18 +112,12 @@
   }
 
   private void deliver(
-      SimulatedWorker worker,
-      TaskTable receiver,
-      WorkerExchange exchange,
-      CompletableFuture<WorkerReport> answer) {
-    if (worker.table != receiver) {
-      return;
-    }
+      SimulatedWorker worker, WorkerExchange exchange, CompletableFuture<WorkerReport> answer) {
     if (worker.frozenUntilMillis > nowMillis) {
-      schedule(worker.frozenUntilMillis, () -> deliver(worker, receiver, exchange, answer));
+      schedule(worker.frozenUntilMillis, () -> deliver(worker, exchange, answer));
       return;
     }
-    WorkerReport report = receiver.exchange(exchange, nowMillis);
+    WorkerReport report = worker.table.exchange(exchange, nowMillis);
     if (!faultOccurs()) {
       schedule(nowMillis + randomDelayMillis(), () -> answer.complete(report));
     }
@@ -157,6 +150,7 @@
   private final class SimulatedWorker {
     private final String name;
     private final List<TaskRun> previousRuns = new ArrayList<>();
+    private int starts;
     private TaskTable table;
     private long frozenUntilMillis;
     private boolean failing;
@@ -184,7 +178,8 @@
     }
 
     private TaskTable newTable() {
-      return new TaskTable(name, CHECKPOINT_INTERVAL_MILLIS, () -> failing);
+      String incarnation = name + "." + ++starts;
+      return new TaskTable(name, incarnation, CHECKPOINT_INTERVAL_MILLIS, () -> failing);
     }
   }
 }
--- a/src/test/java/io/dragonflyturn/measure/capacity/SampleMessages.java
+++ b/src/test/java/io/dragonflyturn/measure/capacity/SampleMessages.java
@@ -23,10 +23,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.UUID;
 import java.util.stream.IntStream;
 
 /** Creates sample control-plane messages of a given size. */
 final class SampleMessages {
+  private static final String INCARNATION = "worker-0123." + new UUID(0, 0);
   private static final int DOMAIN_COUNT = 5;
   private static final int WORKERS_PER_RACK = 8;
   private static final long TIMESTAMP_MILLIS = 1_790_000_000_000L;
@@ -62,13 +64,14 @@
             .<WorkerCommand>mapToObj(
                 index -> new WorkerCommand.Extend("job-0123456789-" + index, 1, index, 8_000))
             .toList();
-    return new WorkerExchange(12, 123_456, commands);
+    return new WorkerExchange(12, 123_456, INCARNATION, commands);
   }
 
   /** Returns a worker report with the given number of tasks. */
   static WorkerReport report(int tasks) {
     return new WorkerReport(
         "worker-0123",
+        INCARNATION,
         false,
         IntStream.range(0, tasks)
             .mapToObj(
--- a/src/test/java/io/dragonflyturn/standin/StandinUsageTest.java
+++ b/src/test/java/io/dragonflyturn/standin/StandinUsageTest.java
@@ -126,13 +126,19 @@
       Worker listed = awaitListed();
       JettyWorkerClient workers = new JettyWorkerClient(client, TIMEOUT);
 
+      String incarnation =
+          workers
+              .exchange(listed.address(), new WorkerExchange(1, 1, "", List.of()))
+              .join()
+              .incarnation();
       WorkerReport report =
           workers
               .exchange(
                   listed.address(),
                   new WorkerExchange(
                       1,
-                      1,
+                      2,
+                      incarnation,
                       List.of(
                           new WorkerCommand.Reserve("job", 1, 0, List.of(0), 5_000),
                           new WorkerCommand.Run("job", 1, 0, 5_000, 0, false, Map.of()))))
--- a/src/test/java/io/dragonflyturn/standin/TaskTableTest.java
+++ b/src/test/java/io/dragonflyturn/standin/TaskTableTest.java
@@ -12,11 +12,12 @@
 
 /** Tests reservations, fencing, run leases, and checkpoints of {@link TaskTable}. */
 class TaskTableTest {
+  private static final String INCARNATION = "worker.2";
   private static final long LEASE_MILLIS = 1_000;
   private static final Map<String, String> LONG_WORK = Map.of("work-seconds", "100");
 
   private long sequence;
-  private final TaskTable table = new TaskTable("worker", 500, () -> false);
+  private final TaskTable table = new TaskTable("worker", INCARNATION, 500, () -> false);
 
   @Test
   void should_refuse_a_reservation_of_held_accelerators() {
@@ -73,20 +74,32 @@
 
   @Test
   void should_ignore_a_repeated_exchange() {
-    WorkerExchange reservation = new WorkerExchange(1, 1, List.of(reserve("first", 1)));
+    WorkerExchange reservation =
+        new WorkerExchange(1, 1, INCARNATION, List.of(reserve("first", 1)));
     table.exchange(reservation, 0);
     table.exchange(reservation, LEASE_MILLIS / 2);
 
     assertThat(stateAfter(LEASE_MILLIS)).isEqualTo(TaskState.LAPSED);
   }
 
+  @Test
+  void should_carry_out_no_command_for_another_incarnation() {
+    List<WorkerCommand> commands = List.of(reserve("first", 1), run("first", 1));
+    table.exchange(new WorkerExchange(1, 1, "worker.1", commands), 1);
+    WorkerReport report = table.exchange(new WorkerExchange(1, 2, "", commands), 1);
+
+    assertThat(report.tasks()).isEmpty();
+    assertThat(report.incarnation()).isEqualTo(INCARNATION);
+  }
+
   private TaskState stateAfter(long nowMillis) {
     return send(1, nowMillis).tasks().getFirst().state();
   }
 
   private WorkerReport send(long fence, long nowMillis, WorkerCommand... commands) {
     sequence++;
-    return table.exchange(new WorkerExchange(fence, sequence, List.of(commands)), nowMillis);
+    return table.exchange(
+        new WorkerExchange(fence, sequence, INCARNATION, List.of(commands)), nowMillis);
   }
 
   private static WorkerCommand reserve(String job, int attempt) {
