Act in a term only on a state that names this replica as its leader

What callers could see: gangs that could not start on some workers until the next change of the leader, and jobs that two replicas placed.

Cause: the planning loop and the gang loop asked first whether this replica leads, and read the number of the term afterwards. A replica that applied its successor's claim in between, as one does that was paused, took the successor's term for its own. Its gang driver then adopted all gangs and numbered exchanges under the successor's fencing token; a worker ignores lower numbers of the same token, so it would ignore the successor. Its planner's records were accepted, since the log compares only the number of the term.

The race itself was not provoked on real processes.

Why it works: who leads and in which term are read from one state, together with the gangs. A term that ends after that read has a lower number than its successor's, and the log and the workers refuse it.

--- a/src/main/java/io/dragonflyturn/internal/membership/LeaderElector.java
+++ b/src/main/java/io/dragonflyturn/internal/membership/LeaderElector.java
@@ -54,6 +54,11 @@
     lastRenewal = clock.instant().minus(settings.leadershipLease());
   }
 
+  /** Returns the incarnation of this replica. */
+  public String incarnation() {
+    return incarnation;
+  }
+
   /** Returns whether this replica is the leader and its view is within the freshness bound. */
   public boolean leads() {
     return isLeader() && isFresh();
@@ -120,7 +125,7 @@
   /**
    * Returns whether this replica is the leader according to its view, even if the view is stale.
    */
-  public boolean isLeader() {
+  private boolean isLeader() {
     return log.leader().equals(incarnation);
   }
 
--- a/src/main/java/io/dragonflyturn/internal/scheduler/GangLoop.java
+++ b/src/main/java/io/dragonflyturn/internal/scheduler/GangLoop.java
@@ -13,6 +13,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -41,9 +42,18 @@
     }
   }
 
-  private void tick() {
-    if (leadership.isLeader()) {
-      Snapshot snapshot = replica.read(GangLoop::snapshot);
+  /**
+   * Ticks the driver if the state that it reads the gangs from names this replica as the leader.
+   */
+  void tick() {
+    Optional<Snapshot> ownTerm =
+        replica.read(
+            state ->
+                state.leadership().leader().equals(leadership.incarnation())
+                    ? Optional.of(snapshot(state))
+                    : Optional.empty());
+    if (ownTerm.isPresent()) {
+      Snapshot snapshot = ownTerm.get();
       activeTerm = snapshot.term;
       driver.tick(snapshot.term, snapshot.held, snapshot.addresses, this::mayStart);
     } else if (activeTerm != 0) {
--- a/src/main/java/io/dragonflyturn/internal/scheduler/PlanningLoop.java
+++ b/src/main/java/io/dragonflyturn/internal/scheduler/PlanningLoop.java
@@ -10,6 +10,7 @@
 import io.dragonflyturn.internal.protocol.ProposalOutcome;
 import io.dragonflyturn.internal.state.ControlRecord;
 import io.dragonflyturn.internal.state.ControlState;
+import io.dragonflyturn.internal.state.Leadership;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -40,6 +41,9 @@
   /** How long a round waits for the outcomes of its proposals. */
   private static final Duration OUTCOME_TIMEOUT = Duration.ofSeconds(5);
 
+  /** The term of a replica that does not lead. */
+  private static final long NO_TERM = 0;
+
   private final ReplicatedState replica;
   private final LeaderElector leadership;
   private final FleetViewFactory viewFactory;
@@ -101,7 +105,10 @@
 
   /** Makes no decisions while proposals of the current term are pending. */
   private void runRound() throws InterruptedException {
-    long term = term();
+    long term = ownTerm();
+    if (term == NO_TERM) {
+      return;
+    }
     if (!hasPendingOutcomes(term)) {
       propose(listedWorkers(), term);
     }
@@ -177,6 +184,12 @@
     }
   }
 
+  /** Returns the current term if this replica leads it; otherwise {@link #NO_TERM}. */
+  private long ownTerm() {
+    Leadership current = replica.read(ControlState::leadership);
+    return current.leader().equals(leadership.incarnation()) ? current.term() : NO_TERM;
+  }
+
   private long term() {
     return replica.read(state -> state.leadership().term());
   }
