Record what a gang driver observed in the term in which it observed it

What callers could see: a gang was placed a second time while its first attempt still ran under the leases of the new leader.

Cause: the recorder of gang events read the number of the term when it proposed a record. A leader that was paused for longer than its leases counts a gang as ended when it goes on; by then its replica may have applied its successor's claim. The end was proposed under the successor's number, which is all that the log compares, and the successor's gang was released.

Evidence: FormerLeaderTest lets the driver of term 1 count a gang as ended after the claim of term 2 was applied. It failed before: the job was QUEUED, so its places were free, in place of RESERVED. The pause itself was not provoked on real processes.

Why it works: each event carries the term of the driver, and is proposed in it. The log refuses it once another term has begun.

--- a/src/main/java/io/dragonflyturn/internal/gang/GangDriver.java
+++ b/src/main/java/io/dragonflyturn/internal/gang/GangDriver.java
@@ -176,23 +176,31 @@
   }
 
   private void advance(GangStateMachine gang, long nowMillis, List<Runnable> callbacks) {
-    String jobId = gang.placedGang().job().id();
-    int attempt = gang.placedGang().attempt();
+    AttemptKey key = AttemptKey.of(gang.placedGang());
+    long eventTerm = term;
+    String jobId = key.jobId();
     for (GangEvent event : gang.advance(() -> mayStart.test(jobId), nowMillis)) {
-      callbacks.add(() -> notifyListener(jobId, attempt, event));
+      callbacks.add(() -> notifyListener(eventTerm, key, event));
     }
   }
 
-  private void notifyListener(String jobId, int attempt, GangEvent event) {
+  private void notifyListener(long eventTerm, AttemptKey key, GangEvent event) {
+    String jobId = key.jobId();
+    int attempt = key.attempt();
     switch (event) {
-      case GangEvent.Started started -> listener.gangStarted(jobId, attempt);
+      case GangEvent.Started started -> listener.gangStarted(eventTerm, jobId, attempt);
       case GangEvent.MemberLost memberLost -> {
         lostMemberCount.inc();
-        listener.memberLost(jobId, attempt, memberLost.worker(), memberLost.reason());
+        listener.memberLost(eventTerm, jobId, attempt, memberLost.worker(), memberLost.reason());
       }
       case GangEvent.Ended ended ->
           listener.gangEnded(
-              jobId, attempt, ended.outcome(), ended.completedSeconds(), ended.failedWorkers());
+              eventTerm,
+              jobId,
+              attempt,
+              ended.outcome(),
+              ended.completedSeconds(),
+              ended.failedWorkers());
     }
   }
 
--- a/src/main/java/io/dragonflyturn/internal/scheduler/GangRecorder.java
+++ b/src/main/java/io/dragonflyturn/internal/scheduler/GangRecorder.java
@@ -5,7 +5,7 @@
 import io.dragonflyturn.internal.state.ControlRecord;
 import java.util.List;
 
-/** Proposes a record in the current term for each gang event that the driver reports. */
+/** Proposes a record in the term of the driver for each gang event that the driver reports. */
 final class GangRecorder implements GangListener {
   private final ReplicatedState replica;
 
@@ -14,25 +14,28 @@
   }
 
   @Override
-  public void gangStarted(String jobId, int attempt) {
-    propose(new ControlRecord.GangStarted(jobId, attempt));
+  public void gangStarted(long term, String jobId, int attempt) {
+    propose(term, new ControlRecord.GangStarted(jobId, attempt));
   }
 
   @Override
   public void gangEnded(
+      long term,
       String jobId,
       int attempt,
       ControlRecord.GangOutcome outcome,
       double completedSeconds,
       List<String> failedWorkers) {
-    propose(new ControlRecord.GangEnded(jobId, attempt, outcome, completedSeconds, failedWorkers));
+    propose(
+        term,
+        new ControlRecord.GangEnded(jobId, attempt, outcome, completedSeconds, failedWorkers));
   }
 
   @Override
   public void memberLost(
-      String jobId, int attempt, String worker, ControlRecord.StopReason reason) {
+      long term, String jobId, int attempt, String worker, ControlRecord.StopReason reason) {
     String explanation = "The member on worker " + worker + " was lost: " + reason + ".";
-    propose(new ControlRecord.GangStopRequested(jobId, attempt, reason, explanation));
+    propose(term, new ControlRecord.GangStopRequested(jobId, attempt, reason, explanation));
   }
 
   @Override
@@ -40,8 +43,7 @@
     // Nothing to record: the replicated state shows the new leader once it has caught up.
   }
 
-  private void propose(ControlRecord record) {
-    long term = replica.read(state -> state.leadership().term());
+  private void propose(long term, ControlRecord record) {
     // The driver reports the end of a gang until the state shows it, so a lost proposal needs no
     // handling.
     replica.propose(record, term).exceptionally(failure -> null);
--- a/src/test/java/io/dragonflyturn/internal/gang/RestartedWorkerGangTest.java
+++ b/src/test/java/io/dragonflyturn/internal/gang/RestartedWorkerGangTest.java
@@ -140,12 +140,13 @@
   }
 
   @Override
-  public void gangStarted(String jobId, int attempt) {
+  public void gangStarted(long term, String jobId, int attempt) {
     started = true;
   }
 
   @Override
   public void gangEnded(
+      long term,
       String jobId,
       int attempt,
       GangOutcome outcome,
@@ -155,7 +156,7 @@
   }
 
   @Override
-  public void memberLost(String jobId, int attempt, String worker, StopReason reason) {}
+  public void memberLost(long term, String jobId, int attempt, String worker, StopReason reason) {}
 
   @Override
   public void fenced(String worker) {}
--- a/src/test/java/io/dragonflyturn/internal/gang/SimulatedLeader.java
+++ b/src/test/java/io/dragonflyturn/internal/gang/SimulatedLeader.java
@@ -152,40 +152,36 @@
   }
 
   private GangDriver newDriver() {
-    GangListener listener = new TermListener(term);
+    GangListener listener = new TermListener();
     return new GangDriver(
         workers, listener, GangTimings.DEFAULT, workers.clock(), workers, new MetricRegistry());
   }
 
   /** Ignores the events of a deposed leader, as the control state does. */
   private final class TermListener implements GangListener {
-    private final long listenerTerm;
-
-    TermListener(long listenerTerm) {
-      this.listenerTerm = listenerTerm;
-    }
-
     @Override
-    public void gangStarted(String jobId, int attempt) {
-      if (listenerTerm == term) {
+    public void gangStarted(long eventTerm, String jobId, int attempt) {
+      if (eventTerm == term) {
         start(jobId, attempt);
       }
     }
 
     @Override
     public void gangEnded(
+        long eventTerm,
         String jobId,
         int attempt,
         GangOutcome outcome,
         double preservedSeconds,
         List<String> failedWorkers) {
-      if (listenerTerm == term) {
+      if (eventTerm == term) {
         end(jobId, attempt, outcome, preservedSeconds);
       }
     }
 
     @Override
-    public void memberLost(String jobId, int attempt, String worker, StopReason reason) {}
+    public void memberLost(
+        long eventTerm, String jobId, int attempt, String worker, StopReason reason) {}
 
     @Override
     public void fenced(String worker) {}
--- a/src/test/java/io/dragonflyturn/internal/scheduler/FormerLeaderTest.java
+++ b/src/test/java/io/dragonflyturn/internal/scheduler/FormerLeaderTest.java
@@ -6,6 +6,7 @@
 import io.dragonflyturn.ResultCode;
 import io.dragonflyturn.internal.gang.GangDriver;
 import io.dragonflyturn.internal.gang.GangTimings;
+import io.dragonflyturn.internal.gang.PlacedGang;
 import io.dragonflyturn.internal.gang.WorkerClient;
 import io.dragonflyturn.internal.gang.WorkerExchange;
 import io.dragonflyturn.internal.gang.WorkerReport;
@@ -58,6 +59,8 @@
   private static final int SEVERAL_ROUNDS = 10;
   private static final List<MemberPlacement> PLACEMENTS =
       List.of(new MemberPlacement(0, WORKER, List.of(0)));
+  private static final PlacedGang STOPPING =
+      new PlacedGang(job("placed"), 1, PLACEMENTS, PlacedGang.Phase.STOPPING, 0);
 
   private final InMemoryPlatformLog log = new InMemoryPlatformLog();
   private final ReplicatedState replica = replica();
@@ -97,6 +100,16 @@
     replica.close();
   }
 
+  // Regression: what a former leader believed of a gang was recorded as its successor's.
+  @Test
+  void should_not_release_the_gang_of_a_successor_when_a_former_leader_counts_it_as_ended()
+      throws Exception {
+    driver.tick(1, List.of(STOPPING), Map.of(), jobId -> true);
+    propose(new ControlRecord.JobSubmitted(job("later")), 0);
+
+    assertThat(phase("placed")).isEqualTo(JobPhase.RESERVED);
+  }
+
   // Regression: a worker ignored a leader because a former one had numbered orders in its term.
   @Test
   void should_send_nothing_to_workers_in_the_term_of_a_successor() {
