Give no speed of a worker's former life to its next one

What callers could see: for up to 250 ms after its first task, a worker that had started again under its id was taken for as slow or as fast as before, so that work was placed by the speed of a machine or kind that may be gone.

Cause: the history of a worker's tasks is kept by incarnation, but the speed that was estimated from it by the worker's id alone, until the next estimate.

Evidence: WorkerSpeedsTest asks right after the first task of incarnation 2. It failed before: factor 0.56 of the former life, in place of an unknown speed.

Why it works: the estimate goes with the history that it came from.

--- a/src/main/java/io/dragonflyturn/internal/policy/WorkerSpeeds.java
+++ b/src/main/java/io/dragonflyturn/internal/policy/WorkerSpeeds.java
@@ -31,7 +31,7 @@
   private static final long REFRESH_INTERVAL_MILLIS = 250;
 
   private final Map<String, History> workers = new HashMap<>();
-  private Map<String, Double> logSpeeds = Map.of();
+  private final Map<String, Double> logSpeeds = new HashMap<>();
   private boolean stale;
   private long estimatedMillis = Long.MIN_VALUE / 2;
 
@@ -44,6 +44,7 @@
     if (history == null || history.incarnation < pace.incarnation()) {
       history = new History(pace.incarnation());
       workers.put(pace.worker(), history);
+      logSpeeds.remove(pace.worker());
     }
     if (history.incarnation == pace.incarnation()) {
       history.add(pace, nowMillis);
@@ -79,7 +80,8 @@
       history.removeBefore(nowMillis - MAXIMUM_AGE_MILLIS);
       history.samples.values().forEach(sample -> paces.add(sample.pace));
     }
-    logSpeeds = SpeedEstimate.logSpeeds(paces);
+    logSpeeds.clear();
+    logSpeeds.putAll(SpeedEstimate.logSpeeds(paces));
     stale = false;
     estimatedMillis = nowMillis;
   }
--- a/src/test/java/io/dragonflyturn/internal/policy/WorkerSpeedsTest.java
+++ b/src/test/java/io/dragonflyturn/internal/policy/WorkerSpeedsTest.java
@@ -131,6 +131,17 @@
     assertThat(speeds.speedOf("w0", 2, nowMillis).samples()).isEqualTo(1);
   }
 
+  // Regression: the first task after a restart was taken as proof of the former life's speed.
+  @Test
+  void should_not_give_the_speed_of_an_earlier_incarnation_before_the_next_estimate() {
+    runSteps(8, worker -> worker < SLOW_WORKERS ? 0.5 : 1.0);
+    assertThat(speedOf("w0").grade()).isEqualTo(Grade.SLOW);
+
+    speeds.observe(pace("new", "w0", 2, "step0", 1_000), nowMillis);
+
+    assertThat(speeds.speedOf("w0", 2, nowMillis)).isEqualTo(WorkerSpeed.UNKNOWN);
+  }
+
   @Test
   void should_ignore_what_is_observed_late_of_an_earlier_incarnation() {
     speeds.observe(pace("new", "w0", 2, "a", 1_000), nowMillis);
