--- a/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
@@ -242,7 +242,9 @@
 
   @Override
   public void workerRestarted(WorkerSession session) {
-    poller.pollRestarted(session);
+    if (ready) {
+      poller.pollRestarted(session);
+    }
   }
 
   @Override
--- a/src/main/java/io/dragonflyturn/internal/dispatch/Member.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/Member.java
@@ -40,6 +40,7 @@
   private State state;
   private int startAttempts;
   private @Nullable WorkerLife sentLife;
+  private long sentWorkerMillis;
   private boolean lostStart;
   private long lostStartMillis;
   private boolean stopRequested;
@@ -132,6 +133,7 @@
     state = State.SENT;
     sentMillis = nowMillis;
     sentLife = session.life();
+    sentWorkerMillis = session.workerTimeMillis(nowMillis);
     startAttempts++;
   }
 
@@ -140,6 +142,11 @@
     return sentMillis;
   }
 
+  /** Returns what the worker's clock showed at least when the last start order was sent. */
+  long sentWorkerMillis() {
+    return sentWorkerMillis;
+  }
+
   /** Returns whether the last start order was made for the present life of the worker. */
   boolean isSentToPresentLife() {
     return sentLife == session.life();
@@ -163,9 +170,15 @@
     }
   }
 
-  /** Records that the worker has started again: whether it runs the member is unknown. */
-  void workerRestarted() {
+  /**
+   * Records that the worker has started again: whether it runs the member is unknown, and what was
+   * read from the clock of its former life means nothing any more.
+   */
+  void workerRestarted(long nowMillis) {
     stopAcceptedMillis = 0;
+    listedMillis = session.workerTimeMillis(nowMillis);
+    progressMillis = listedMillis;
+    paceFromPercent = -1;
     if (state == State.CONFIRMED) {
       state = State.UNCERTAIN;
     }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
@@ -163,7 +163,7 @@
   void workerRestarted(WorkerSession session, String learnedFrom, long incarnationBefore) {
     events.workerRestarted(session, learnedFrom, incarnationBefore);
     for (Member member : List.copyOf(session.members())) {
-      member.workerRestarted();
+      member.workerRestarted(context.nowMillis());
       stopOrders.repeat(member);
     }
     listener.workerRestarted(session);
--- a/src/main/java/io/dragonflyturn/internal/dispatch/RunEvents.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/RunEvents.java
@@ -36,7 +36,7 @@
         .with("worker", session.id())
         .with("incarnation", session.incarnation())
         .with("clockMillis", clockMillis)
-        .with("leastMillis", session.workerTimeMillis(member.sentMillis()))
+        .with("leastMillis", member.sentWorkerMillis())
         .with("task", member.task())
         .with("term", term)
         .write();
--- a/src/main/java/io/dragonflyturn/internal/dispatch/StartOrders.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/StartOrders.java
@@ -110,7 +110,7 @@
     WorkerSession session = member.session();
     if (!member.isSentToPresentLife()) {
       lost(member, "former-life");
-    } else if (taken.clockMillis() < session.workerTimeMillis(member.sentMillis())) {
+    } else if (taken.clockMillis() < member.sentWorkerMillis()) {
       events.clockBehind(member, taken.clockMillis());
       long incarnationBefore = session.incarnation();
       session.beginUnknownLife(taken.clockMillis(), context.nowMillis());
@@ -130,7 +130,9 @@
   }
 
   private void refused(Member member, OrderAnswer.Reason reason) {
-    if (reason == OrderAnswer.Reason.FENCED && !member.isSentToPresentLife()) {
+    boolean tellsOfFormerLife =
+        reason == OrderAnswer.Reason.FENCED || reason == OrderAnswer.Reason.OLD_RUN;
+    if (tellsOfFormerLife && !member.isSentToPresentLife()) {
       lost(member, "former-life");
       return;
     }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/StopOrders.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/StopOrders.java
@@ -94,16 +94,6 @@
     context.eventLoop().schedule(() -> submit(member), RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
   }
 
-  /** A stop order with the life of the worker that it was made for. */
-  private static final class Attempt {
-    private final Member member;
-    private @Nullable WorkerLife life;
-
-    Attempt(Member member) {
-      this.member = member;
-    }
-  }
-
   /** Handles a refused stop order. Returns whether the order need not be repeated. */
   private boolean settled(Member member, OrderAnswer.Reason reason) {
     if (reason == OrderAnswer.Reason.FENCED) {
@@ -117,4 +107,14 @@
     events.stopRefused(member, reason);
     return false;
   }
+
+  /** A stop order with the life of the worker that it was made for. */
+  private static final class Attempt {
+    private final Member member;
+    private @Nullable WorkerLife life;
+
+    Attempt(Member member) {
+      this.member = member;
+    }
+  }
 }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkerLife.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerLife.java
@@ -129,7 +129,7 @@
     }
   }
 
-  /** Returns whether this life has listed its runs, and the leader may place work on it. */
+  /** Returns whether this life has listed its runs. */
   boolean hasListed() {
     return listed;
   }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkerPoller.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerPoller.java
@@ -85,8 +85,7 @@
   }
 
   /**
-   * Polls a worker that has started again at once, so that it refuses orders for its former life,
-   * even if a poll of that life is open.
+   * Polls a worker that has started again at once, so that it refuses orders for its former life.
    */
   void pollRestarted(WorkerSession session) {
     if (!closed && !session.life().isPolling()) {
@@ -226,10 +225,8 @@
     if (closed || session.isClosed()) {
       return;
     }
-    if (answer instanceof Unanswered && sent.grantsLease()) {
-      session.orderLost(context.nowMillis());
-    }
     if (life != session.life()) {
+      pollLost(session, sent);
       return;
     }
     switch (answer) {
@@ -242,10 +239,13 @@
           reconciler.reconcile(session, sent.sentMillis(), listing);
           acknowledgeOnceStored(session);
           continuePolling(session);
+        } else {
+          pollLost(session, sent);
         }
       }
       case Refused refused -> pollRefused(session, refused.reason());
       case Unanswered unanswered -> {
+        pollLost(session, sent);
         life.markInDoubt(context.nowMillis());
         countUnansweredPoll(session, "no-answer");
         schedulePollAfterFailure(session);
@@ -253,6 +253,13 @@
     }
   }
 
+  /** Records that a poll may have granted a lease to another life than it was made for. */
+  private void pollLost(WorkerSession session, SentPoll sent) {
+    if (sent.grantsLease()) {
+      session.orderLost(context.nowMillis());
+    }
+  }
+
   /**
    * Returns whether a list is of the life that was polled. If it is of another one, that one is the
    * present life, because it answers a poll that was sent while the former one was.
@@ -333,7 +340,7 @@
     long endNumber = life.lastSeenEnd();
     driver.whenStored(
         () -> {
-          if (session.life() != life) {
+          if (session.life() != life || session.isClosed()) {
             return;
           }
           life.markEndRecorded(endNumber);
