Count a lost order as on its way for twelve seconds

A start that was lost and came 6 s later, into a life that the leader did not know, ran beside the next run (found by review and by search, shown by RestartedWorkerTest; it failed with one second).

More cases for what the reviewer's mutations did not catch: a refusal by a new life does not end the term, no work before its first answer, the longest lease after its first answer, no acknowledgement while in doubt.

--- a/src/main/java/io/dragonflyturn/internal/dispatch/Member.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/Member.java
@@ -165,7 +165,7 @@
 
   /** Records that the present life has listed the member in its answer to a poll. */
   void markListed(long pollSentMillis) {
-    if (pollSentMillis > lostStartMillis + WorkerSession.LOST_ORDER_MARGIN_MILLIS) {
+    if (pollSentMillis > lostStartMillis + WorkerSession.LATE_ORDER_MILLIS) {
       lostStart = false;
     }
   }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkerSession.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerSession.java
@@ -21,8 +21,8 @@
   /** Added to the end of each lease before it counts as expired. */
   private static final long LEASE_MARGIN_MILLIS = 300;
 
-  /** How long after the leader has given an order up the order may still reach a worker. */
-  static final long LOST_ORDER_MARGIN_MILLIS = 1_000;
+  /** How long after the leader has given an order up the order may still be carried out. */
+  static final long LATE_ORDER_MILLIS = 12_000;
 
   private final FencingTokens fencingTokens;
   private final long longestLeaseMillis;
@@ -162,14 +162,14 @@
   }
 
   /**
-   * Records that an earlier leader placed members here. Its last orders may have reached any life,
-   * like those that this leader loses.
+   * Records that an earlier leader placed members here. Its last orders may have reached any life
+   * until this leader was elected.
    *
    * @param electedMillis when this leader learned of its election
    */
   void expectEarlierOrders(long electedMillis) {
     extendLatestLeaseEnd(LeadershipLease.endOfEarlierLeasesMillis(electedMillis));
-    extendLatestLeaseEnd(electedMillis + LOST_ORDER_MARGIN_MILLIS + longestLeaseMillis);
+    extendLatestLeaseEnd(electedMillis + longestLeaseMillis);
   }
 
   /**
@@ -189,8 +189,7 @@
    * another life than it was made for.
    */
   void orderLost(long nowMillis) {
-    long endMillis =
-        nowMillis + LOST_ORDER_MARGIN_MILLIS + longestLeaseMillis + LEASE_MARGIN_MILLIS;
+    long endMillis = nowMillis + LATE_ORDER_MILLIS + longestLeaseMillis + LEASE_MARGIN_MILLIS;
     lostOrderEndMillis = Math.max(lostOrderEndMillis, endMillis);
   }
 
--- a/src/test/java/io/dragonflyturn/internal/dispatch/RestartedWorkerTest.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/RestartedWorkerTest.java
@@ -59,6 +59,22 @@
     assertThat(fixture.workers.workerOf("a.0.0.0")).isEqualTo("w2");
   }
 
+  /** The first of two start orders reached a later life than the one that had taken the second. */
+  @Test
+  void should_not_run_a_task_twice_when_its_first_start_arrives_late_behind_a_cut() {
+    fixture.workers.holdBackStart("w1", 6_000);
+    fixture.submit("a", 1, DispatchFixture.tasks(1));
+    fixture.advance(4_500);
+
+    fixture.workers.restart("w1");
+    fixture.workers.disconnect("w1");
+    addIdleWorker();
+    fixture.advance(LONGEST_WAIT_MILLIS);
+
+    assertThat(fixture.workers.violations()).isEmpty();
+    assertThat(fixture.workers.workerOf("a.0.0.0")).isEqualTo("w2");
+  }
+
   /** The new life knew neither the fencing token nor that the run had been given up. */
   @Test
   void should_not_run_a_task_twice_when_its_delayed_start_reaches_the_next_life() {
@@ -106,6 +122,38 @@
     assertThat(fixture.workers.violations()).isEmpty();
   }
 
+  /** A worker that had started again made the leader believe that another one led. */
+  @Test
+  void should_keep_leading_when_a_new_life_refuses_an_order_for_its_former_one() {
+    fixture.workers.slowDown("w1", 300);
+    fixture.submit("a", 1, DispatchFixture.tasks(1));
+    fixture.advance(100);
+
+    fixture.workers.restart("w1");
+    fixture.reportWorker("w1");
+    fixture.advance(300);
+
+    assertThat(fixture.leader().dispatcher.isLeading()).isTrue();
+    fixture.advance(1_000);
+    assertThat(fixture.workers.runningTasks()).containsExactly("a.0.0.0");
+    assertThat(fixture.workers.starts("a.0.0.0")).isEqualTo(1);
+  }
+
+  @Test
+  void should_not_start_work_on_a_restarted_worker_before_it_has_answered() {
+    fixture.workers.restart("w1");
+    fixture.workers.disconnect("w1");
+    fixture.reportWorker("w1");
+
+    fixture.submit("a", 1, DispatchFixture.tasks(1));
+    fixture.advance(3_000);
+    assertThat(fixture.leader().dispatchMetrics.startsOrdered().getCount()).isZero();
+
+    fixture.workers.reconnect("w1");
+    fixture.advance(2_000);
+    assertThat(fixture.workers.runningTasks()).containsExactly("a.0.0.0");
+  }
+
   private void addIdleWorker() {
     fixture.workers.add("w2");
     fixture.reportWorker("w2");
--- a/src/test/java/io/dragonflyturn/internal/dispatch/WorkerSessionTest.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/WorkerSessionTest.java
@@ -54,6 +54,54 @@
     assertThat(session.workerTimeMillis(now)).isEqualTo(300);
   }
 
+  /**
+   * What orders for the former life granted lasted longer than what was counted for the new one.
+   */
+  @Test
+  void should_count_a_longest_lease_from_the_first_answer_of_a_new_life() {
+    session.beginLife(2, 300, START_MILLIS);
+
+    session.firstAnswered(START_MILLIS + 100);
+
+    long longestEnd = START_MILLIS + 100 + (long) (MAXIMUM_LEASE_MILLIS / SLOW_RATE);
+    assertThat(session.haveLeasesExpired(longestEnd, LEASE_MILLIS)).isFalse();
+  }
+
+  @Test
+  void should_not_count_a_longest_lease_again_after_later_answers() {
+    session.firstAnswered(START_MILLIS);
+
+    session.firstAnswered(START_MILLIS + 60_000);
+
+    assertThat(session.haveLeasesExpired(START_MILLIS + 60_000, LEASE_MILLIS)).isTrue();
+  }
+
+  /** A poll that reached the next life made it forget ends that nobody had read. */
+  @Test
+  void should_acknowledge_no_end_from_a_lost_order_until_the_next_list() {
+    WorkerLife life = session.life();
+    life.markListed(START_MILLIS);
+    life.markEndRecorded(3);
+    assertThat(life.endToAcknowledge()).isEqualTo(3);
+
+    life.markInDoubt(START_MILLIS + 100);
+    life.markListed(START_MILLIS + 50);
+    assertThat(life.endToAcknowledge()).isZero();
+
+    life.markListed(START_MILLIS + 101);
+    assertThat(life.endToAcknowledge()).isEqualTo(3);
+  }
+
+  /** An answer that a later list had overtaken looked like one of another life. */
+  @Test
+  void should_not_take_a_clock_that_was_read_early_for_another_life() {
+    long sentMillis = START_MILLIS + 1_000;
+    long leastClockMillis = session.workerTimeMillis(sentMillis);
+    session.life().recordClock(1_299, START_MILLIS + 1_300);
+
+    assertThat(1_001L).isGreaterThanOrEqualTo(leastClockMillis);
+  }
+
   @Test
   void should_be_cold_until_the_time_that_the_worker_named_has_passed() {
     session.update(registration(10_000, 2_000), START_MILLIS + 10_000);
