--- a/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
@@ -6,7 +6,6 @@
 import io.dragonflyturn.internal.fleet.OrderAnswer.Reason;
 import io.dragonflyturn.internal.fleet.PollAnswer;
 import io.dragonflyturn.internal.fleet.PollOrder;
-import io.dragonflyturn.internal.fleet.RunningTask;
 import io.dragonflyturn.internal.fleet.StartOrder;
 import io.dragonflyturn.internal.fleet.StopOrder;
 import io.dragonflyturn.internal.fleet.WorkerGateway;
@@ -33,38 +32,28 @@
   static final Resources CAPACITY = new Resources(32_000, 65_536, 8);
 
   private static final long ANSWER_DELAY_MILLIS = 2;
-  private static final long FAILURE_DELAY_MILLIS = 40;
   private static final long ORDER_TIMEOUT_MILLIS = 500;
   private static final long POLL_TIMEOUT_MARGIN_MILLIS = 800;
-  private static final int LISTED_ENDS = 500;
-  private static final long GANG_WAIT_MILLIS = 3_000;
 
   private final ManualLoop loop;
-  private final Map<String, Worker> workers = new LinkedHashMap<>();
+  private final Map<String, FakeWorker> workers = new LinkedHashMap<>();
   private final Set<String> disconnected = new HashSet<>();
   private final Set<String> failing = new HashSet<>();
-  private final Set<String> failingAllRuns = new HashSet<>();
-  private final Map<String, Integer> gangSizes = new HashMap<>();
-  private final Set<String> assembledGangs = new HashSet<>();
+  private final FakeGangs gangs = new FakeGangs(workers.values());
   private final List<String> violations = new ArrayList<>();
   private final Map<String, Long> slowAnswerMillis = new HashMap<>();
   private final Map<String, Long> heldBackMillis = new HashMap<>();
   private final Map<String, Integer> starts = new HashMap<>();
-  private final Set<String> finishedEarly = new HashSet<>();
   private final Set<String> acknowledgedDone = new HashSet<>();
-  private final Map<String, Double> speeds = new HashMap<>();
+  private final FakeRunPlan plan = new FakeRunPlan();
   private final Map<String, Integer> tasksStarted = new HashMap<>();
-  private LongUnaryOperator workByStart = start -> 3_000;
-  private long runsStarted;
   private int answersToLose;
   private long startDelayMillis;
   private long unhealthyUntilMillis;
   private int stoppedRuns;
-  private int runsToStall;
   private long sendMillis;
   private long sendingUntilMillis;
   private int unansweredOrders;
-  private int runsAlone;
   private String checkpoint = "";
   private long maximumLeaseMillis = 6_000;
 
@@ -73,7 +62,7 @@
   }
 
   void add(String id) {
-    workers.put(id, new Worker(id, 1));
+    workers.put(id, new FakeWorker(id, 1, this, gangs, loop));
   }
 
   Set<String> ids() {
@@ -85,33 +74,11 @@
   }
 
   WorkerRegistration registration(String id) {
-    return new WorkerRegistration(
-        id,
-        worker(id).incarnation,
-        "service",
-        id + ":1",
-        "north",
-        List.of("a", "r1"),
-        CAPACITY,
-        false,
-        0,
-        0,
-        worker(id).clock());
+    return worker(id).registration(false, 0);
   }
 
   WorkerRegistration drainingRegistration(String id, long remainingMillis) {
-    return new WorkerRegistration(
-        id,
-        worker(id).incarnation,
-        "service",
-        id + ":1",
-        "north",
-        List.of("a", "r1"),
-        CAPACITY,
-        true,
-        remainingMillis,
-        0,
-        worker(id).clock());
+    return worker(id).registration(true, remainingMillis);
   }
 
   /** Sets the longest lease that workers accept; they shorten a longer one. */
@@ -120,7 +87,7 @@
   }
 
   void setWorkMillis(long millis) {
-    workByStart = start -> millis;
+    plan.setWorkMillis(start -> millis);
   }
 
   /**
@@ -130,12 +97,12 @@
    *     starts
    */
   void setWorkMillis(LongUnaryOperator millis) {
-    workByStart = millis;
+    plan.setWorkMillis(millis);
   }
 
   /** Sets how fast a worker runs tasks; 0.5 takes twice as long as the usual 1. */
   void setSpeed(String id, double speed) {
-    speeds.put(id, speed);
+    plan.setSpeed(id, speed);
   }
 
   /** Returns how many tasks a worker has started. */
@@ -150,17 +117,17 @@
 
   /** Makes the next runs that are started list no progress and never end by themselves. */
   void stallRuns(int runs) {
-    runsToStall = runs;
+    plan.stallRuns(runs);
   }
 
   /** Makes a task list its whole work as done from its start on, though it ends with the others. */
   void finishEarly(String task) {
-    finishedEarly.add(task);
+    plan.finishEarly(task);
   }
 
   /** Makes every run that a worker starts from now on fail soon. */
   void failRuns(String id) {
-    failingAllRuns.add(id);
+    plan.failRuns(id);
   }
 
   /**
@@ -191,8 +158,8 @@
    */
   void restart(String id) {
     worker(id).expire();
-    Worker next = new Worker(id, worker(id).incarnation + 1);
-    next.startMillis = loop.millis();
+    FakeWorker next = new FakeWorker(id, worker(id).incarnation() + 1, this, gangs, loop);
+    next.startClock();
     workers.put(id, next);
   }
 
@@ -203,18 +170,18 @@
 
   /** Makes the tasks of a step wait for each other, and end if they wait too long. */
   void setGang(String stepKey, int tasks) {
-    gangSizes.put(stepKey, tasks);
+    gangs.setSize(stepKey, tasks);
   }
 
   /** Returns the number of runs that ended because the rest of their gang had not started. */
   int runsAlone() {
-    workers.values().forEach(Worker::expire);
-    return runsAlone;
+    workers.values().forEach(FakeWorker::expire);
+    return gangs.runsAlone();
   }
 
   /** Makes the worker of a running task lose the run, without an end. */
   void forgetRun(String task) {
-    worker(workerOf(task)).running.remove(task);
+    worker(workerOf(task)).forget(task);
   }
 
   /**
@@ -243,7 +210,7 @@
    * time.
    */
   List<String> violations() {
-    workers.values().forEach(Worker::expire);
+    workers.values().forEach(FakeWorker::expire);
     return violations;
   }
 
@@ -263,24 +230,55 @@
 
   Set<String> runningTasks() {
     Set<String> running = new HashSet<>();
-    for (Worker worker : workers.values()) {
+    for (FakeWorker worker : workers.values()) {
       worker.expire();
-      running.addAll(worker.running.keySet());
+      running.addAll(worker.runningTasks());
     }
     return running;
   }
 
   String workerOf(String task) {
-    for (Worker worker : workers.values()) {
+    for (FakeWorker worker : workers.values()) {
       worker.expire();
-      if (worker.running.containsKey(task)) {
-        return worker.id;
+      if (worker.runs(task)) {
+        return worker.id();
       }
     }
     return "";
   }
 
-  private Worker worker(String id) {
+  long maximumLeaseMillis() {
+    return maximumLeaseMillis;
+  }
+
+  String checkpoint() {
+    return checkpoint;
+  }
+
+  /** Creates the run that a worker starts now, and checks that it may be started. */
+  FakeRun begin(FakeWorker worker, StartOrder order) {
+    if (!workerOf(order.task()).isEmpty()) {
+      violations.add(order.task() + " runs twice");
+    }
+    if (acknowledgedDone.contains(order.task())) {
+      violations.add(order.task() + " starts again after its end was acknowledged");
+    }
+    tasksStarted.merge(worker.id(), 1, Integer::sum);
+    starts.merge(order.task(), 1, Integer::sum);
+    return plan.next(worker.id(), order.task(), order.runNumber(), worker.clock());
+  }
+
+  void countStopped() {
+    stoppedRuns++;
+  }
+
+  void markAcknowledged(EndedTask end) {
+    if (end.kind() == EndKind.DONE) {
+      acknowledgedDone.add(end.task());
+    }
+  }
+
+  private FakeWorker worker(String id) {
     return Objects.requireNonNull(workers.get(id));
   }
 
@@ -312,7 +310,8 @@
     return order(worker.id(), target -> target.stop(order));
   }
 
-  private CompletableFuture<OrderAnswer> order(String id, Function<Worker, OrderAnswer> action) {
+  private CompletableFuture<OrderAnswer> order(
+      String id, Function<FakeWorker, OrderAnswer> action) {
     CompletableFuture<OrderAnswer> answer = new CompletableFuture<>();
     if (disconnected.contains(id)) {
       loop.schedule(
@@ -361,12 +360,15 @@
   }
 
   private void answerPoll(
-      Worker worker, PollOrder order, long deadlineMillis, CompletableFuture<PollAnswer> answer) {
-    if (disconnected.contains(worker.id)) {
+      FakeWorker worker,
+      PollOrder order,
+      long deadlineMillis,
+      CompletableFuture<PollAnswer> answer) {
+    if (disconnected.contains(worker.id())) {
       answer.complete(new PollAnswer.Unanswered());
       return;
     }
-    if (worker(worker.id) != worker) {
+    if (worker(worker.id()) != worker) {
       loop.schedule(
           () -> answer.complete(new PollAnswer.Unanswered()),
           deadlineMillis + POLL_TIMEOUT_MARGIN_MILLIS - loop.millis(),
@@ -385,194 +387,4 @@
       answer.complete(current);
     }
   }
-
-  /** A worker with its active runs and unacknowledged ends. */
-  private final class Worker {
-    private final String id;
-    private final long incarnation;
-    private final Map<String, Run> running = new LinkedHashMap<>();
-    private final Map<String, Integer> lastRuns = new HashMap<>();
-    private final List<EndedTask> ended = new ArrayList<>();
-    private long startMillis;
-    private long fence;
-    private long leaseUntilMillis;
-    private long lastEndNumber;
-
-    Worker(String id, long incarnation) {
-      this.id = id;
-      this.incarnation = incarnation;
-    }
-
-    long clock() {
-      return loop.millis() - startMillis;
-    }
-
-    private void extendLease(long untilMillis) {
-      leaseUntilMillis =
-          Math.max(leaseUntilMillis, Math.min(untilMillis, clock() + maximumLeaseMillis));
-    }
-
-    OrderAnswer start(StartOrder order) {
-      expire();
-      if (order.fence() < fence) {
-        return new OrderAnswer.Refused(Reason.FENCED);
-      }
-      fence = order.fence();
-      extendLease(order.leaseUntilMillis());
-      Run present = running.get(order.task());
-      if (present != null && present.number == order.runNumber()) {
-        return new OrderAnswer.Taken(clock());
-      }
-      if (lastRuns.getOrDefault(order.task(), 0) >= order.runNumber()) {
-        return new OrderAnswer.Refused(Reason.OLD_RUN);
-      }
-      if (!workerOf(order.task()).isEmpty()) {
-        violations.add(order.task() + " runs twice");
-      }
-      if (acknowledgedDone.contains(order.task())) {
-        violations.add(order.task() + " starts again after its end was acknowledged");
-      }
-      lastRuns.put(order.task(), order.runNumber());
-      runsStarted++;
-      tasksStarted.merge(id, 1, Integer::sum);
-      boolean stalls = runsToStall > 0;
-      runsToStall = Math.max(0, runsToStall - 1);
-      long totalMillis =
-          (long) (workByStart.applyAsLong(runsStarted) / speeds.getOrDefault(id, 1.0));
-      long completionMillis = stalls ? Long.MAX_VALUE : clock() + totalMillis;
-      boolean fails = failingAllRuns.contains(id);
-      long failureMillis = fails ? clock() + FAILURE_DELAY_MILLIS : Long.MAX_VALUE;
-      Run run = new Run(order.runNumber(), clock(), totalMillis, completionMillis, failureMillis);
-      running.put(order.task(), run);
-      starts.merge(order.task(), 1, Integer::sum);
-      recordAssembly(order.task(), order.runNumber());
-      return new OrderAnswer.Taken(clock());
-    }
-
-    OrderAnswer stop(StopOrder order) {
-      expire();
-      if (order.fence() < fence) {
-        return new OrderAnswer.Refused(Reason.FENCED);
-      }
-      fence = order.fence();
-      lastRuns.merge(order.task(), order.runNumber(), Math::max);
-      if (running.containsKey(order.task())) {
-        end(order.task(), EndKind.STOPPED);
-      }
-      return new OrderAnswer.Taken(clock());
-    }
-
-    PollAnswer poll(PollOrder order) {
-      expire();
-      if (order.fence() < fence) {
-        return new PollAnswer.Refused(Reason.FENCED);
-      }
-      fence = order.fence();
-      extendLease(order.leaseUntilMillis());
-      acknowledge(order.lastAcknowledgedEnd());
-      List<RunningTask> list = new ArrayList<>();
-      running.forEach((task, run) -> list.add(run.listed(task, clock())));
-      List<EndedTask> listedEnds = ended.subList(0, Math.min(LISTED_ENDS, ended.size()));
-      return new PollAnswer.Listing(
-          incarnation, clock(), list, listedEnds, ended.size() < LISTED_ENDS);
-    }
-
-    private void acknowledge(long endNumber) {
-      for (EndedTask end : List.copyOf(ended)) {
-        if (end.endNumber() <= endNumber) {
-          ended.remove(end);
-          if (end.kind() == EndKind.DONE) {
-            acknowledgedDone.add(end.task());
-          }
-        }
-      }
-    }
-
-    void expire() {
-      for (Map.Entry<String, Run> entry : Map.copyOf(running).entrySet()) {
-        if (!running.containsKey(entry.getKey())) {
-          continue;
-        }
-        if (entry.getValue().failureMillis <= clock()) {
-          end(entry.getKey(), EndKind.FAILED);
-        } else if (entry.getValue().completionMillis <= Math.min(clock(), leaseUntilMillis)) {
-          end(entry.getKey(), EndKind.DONE);
-        } else if (leaseUntilMillis <= clock()) {
-          end(entry.getKey(), EndKind.LAPSED);
-        } else if (isAlone(entry.getKey(), entry.getValue())) {
-          runsAlone++;
-          end(entry.getKey(), EndKind.ALONE);
-        }
-      }
-    }
-
-    /** Ends the other members of a gang when one of them ends without having completed. */
-    private void breakGang(String task, EndKind kind) {
-      String stepKey = task.substring(0, task.lastIndexOf('.'));
-      if (!gangSizes.containsKey(stepKey) || kind == EndKind.DONE || kind == EndKind.BROKEN) {
-        return;
-      }
-      for (Worker worker : workers.values()) {
-        List.copyOf(worker.running.keySet()).stream()
-            .filter(other -> other.startsWith(stepKey + '.'))
-            .forEach(other -> worker.end(other, EndKind.BROKEN));
-      }
-    }
-
-    /** Records that a gang is at work once the last of its members has started. */
-    private void recordAssembly(String task, int runNumber) {
-      String stepKey = task.substring(0, task.lastIndexOf('.'));
-      Integer gangSize = gangSizes.get(stepKey);
-      if (gangSize == null) {
-        return;
-      }
-      int present = 0;
-      for (Worker worker : workers.values()) {
-        present +=
-            worker.running.keySet().stream().filter(each -> each.startsWith(stepKey + '.')).count();
-      }
-      if (present == gangSize) {
-        assembledGangs.add(stepKey + '/' + runNumber);
-      }
-    }
-
-    private boolean isAlone(String task, Run run) {
-      String stepKey = task.substring(0, task.lastIndexOf('.'));
-      return gangSizes.containsKey(stepKey)
-          && !assembledGangs.contains(stepKey + '/' + run.number)
-          && clock() > run.startMillis + GANG_WAIT_MILLIS;
-    }
-
-    private void end(String task, EndKind kind) {
-      final Run run = Objects.requireNonNull(running.remove(task));
-      lastEndNumber++;
-      breakGang(task, kind);
-      stoppedRuns += kind == EndKind.STOPPED ? 1 : 0;
-      ended.add(new EndedTask(lastEndNumber, task, run.number, kind, checkpoint));
-    }
-  }
-
-  /** A run on a worker. Times are in milliseconds of the worker's clock. */
-  private final class Run {
-    private final int number;
-    private final long startMillis;
-    private final long totalMillis;
-    private final long completionMillis;
-    private final long failureMillis;
-
-    Run(int number, long startMillis, long totalMillis, long completionMillis, long failureMillis) {
-      this.number = number;
-      this.startMillis = startMillis;
-      this.totalMillis = totalMillis;
-      this.completionMillis = completionMillis;
-      this.failureMillis = failureMillis;
-    }
-
-    RunningTask listed(String task, long clockMillis) {
-      long remainingMillis = Math.min(completionMillis - clockMillis, totalMillis);
-      long percent = Math.max(0, 100 - remainingMillis * 100 / totalMillis);
-      return new RunningTask(
-          task, number, checkpoint, finishedEarly.contains(task) ? 100 : (int) percent);
-    }
-  }
 }
