Search the orders of events around restarted workers, failing

The fakes changed with it: a worker refuses a start whose lease has ended (`late`), its clock may start anywhere and be slow, registrations may be outdated or missing, and an append to a store that an instance cannot reach is answered as unknown after a time-out, where it hung for ever before, and its leader with it.

--- a/src/test/java/io/dragonflyturn/internal/dispatch/DispatchFixture.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/DispatchFixture.java
@@ -11,6 +11,7 @@
 import io.dragonflyturn.internal.ledger.SequencedWriter;
 import io.dragonflyturn.internal.ledger.StoreStatus;
 import io.dragonflyturn.internal.ledger.TopicConsumer;
+import io.dragonflyturn.internal.ledger.WriteResult;
 import io.dragonflyturn.internal.logging.EventLog;
 import io.dragonflyturn.internal.policy.CustomerDirectory;
 import io.dragonflyturn.internal.policy.CustomerTerms;
@@ -30,6 +31,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -38,11 +40,14 @@
 final class DispatchFixture {
   static final InstanceCapacity LARGE = new InstanceCapacity(1.5, 200);
   static final InstanceCapacity SMALL = new InstanceCapacity(0.36, 10);
+  private static final long STORE_TIMEOUT_MILLIS = 600;
   static final Resources TASK = new Resources(4_000, 8_000, 1);
 
   final ManualLoop loop = new ManualLoop();
   final FakeRecordStore store = new FakeRecordStore(loop);
   final FakeWorkers workers = new FakeWorkers(loop);
+  final DisturbedGateway orders = new DisturbedGateway(workers, loop);
+  final FakeRegistry registry = new FakeRegistry(workers);
   final Set<String> domainsOutOfService = new HashSet<>();
   final RulesStatus rulesStatus = new RulesStatus();
   final Map<String, CustomerTerms> terms = new HashMap<>();
@@ -65,7 +70,24 @@
       new SequencedWriter(store, LedgerKeys.JOBS_TOPIC, "entry", 1, 1, true, loop, events);
 
   DispatchFixture() {
-    events.start();
+    this(true);
+  }
+
+  /**
+   * Creates a fixture.
+   *
+   * @param logs whether events are written as they happen; otherwise the first ones are kept for
+   *     {@link #printEvents}
+   */
+  DispatchFixture(boolean logs) {
+    if (logs) {
+      events.start();
+    }
+  }
+
+  /** Writes the events that are kept. */
+  void printEvents() {
+    events.close();
   }
 
   /** An instance that can be disconnected from the store and the workers. */
@@ -98,7 +120,7 @@
                   name,
                   capacity,
                   connection,
-                  new DisconnectableGateway(workers, unreachableWorkers, loop),
+                  new DisconnectableGateway(orders, unreachableWorkers, loop),
                   feed,
                   domainsOutOfService::contains,
                   rulesStatus,
@@ -179,6 +201,12 @@
   }
 
   void submitFor(String customer, String id, int priority, StepSpecification... steps) {
+    sendSubmission(customer, id, priority, steps);
+  }
+
+  /** Submits a job. Returns whether the store has accepted it, once that is known. */
+  CompletableFuture<WriteResult> sendSubmission(
+      String customer, String id, int priority, StepSpecification... steps) {
     SubmittedJob job =
         new SubmittedJob(
             id,
@@ -188,26 +216,34 @@
             "content",
             List.of(steps),
             Recurrence.NONE);
-    submissions.write(
+    return submissions.write(
         new KeyedRecord(LedgerKeys.submission(id), WorkloadCodec.encodeSubmission(job)));
   }
 
   /** Reports to all instances that a worker is draining. */
   void drain(String worker, long remainingMillis) {
+    registry.replace(workers.drainingRegistration(worker, remainingMillis));
     instances.forEach(
         each -> each.feed.report(workers.drainingRegistration(worker, remainingMillis)));
   }
 
   /** Reports the current registrations of all workers to all instances. */
   void reportWorkers() {
-    instances.forEach(each -> workers.registrations().forEach(each.feed::report));
+    workers.registrations().forEach(each -> reportWorker(each.id()));
   }
 
   /** Reports the current registration of a worker to all instances. */
   void reportWorker(String id) {
+    registry.publish(id);
     instances.forEach(each -> each.feed.report(workers.registration(id)));
   }
 
+  /** Reports to all instances that a worker is not registered any more. */
+  void unregister(String id) {
+    registry.remove(id);
+    instances.forEach(each -> each.feed.reportRemoval(id));
+  }
+
   void cancel(String id) {
     submissions.write(new KeyedRecord(LedgerKeys.cancellation(id), new byte[] {1}));
   }
@@ -279,11 +315,18 @@
       }
     }
 
+    void reportRemoval(String id) {
+      RegistrationListener current = registrationListener;
+      if (started && current != null) {
+        current.unregistered(id);
+      }
+    }
+
     @Override
     public void start(RegistrationListener listener) {
       started = true;
       registrationListener = listener;
-      workers.registrations().forEach(listener::registered);
+      registry.registrations().forEach(listener::registered);
     }
 
     @Override
@@ -298,7 +341,7 @@
   }
 
   /** A connection to the store that can be disconnected. */
-  private static final class DisconnectableStore implements RecordStore {
+  private final class DisconnectableStore implements RecordStore {
     private final RecordStore store;
     private boolean disconnected;
 
@@ -314,9 +357,15 @@
     @Override
     public CompletableFuture<AppendOutcome> append(
         String topic, AppendId position, OptionalLong expectedEnd, List<KeyedRecord> records) {
-      return disconnected
-          ? new CompletableFuture<>()
-          : store.append(topic, position, expectedEnd, records);
+      if (!disconnected) {
+        return store.append(topic, position, expectedEnd, records);
+      }
+      CompletableFuture<AppendOutcome> answer = new CompletableFuture<>();
+      loop.schedule(
+          () -> answer.complete(new AppendOutcome.Unknown()),
+          STORE_TIMEOUT_MILLIS,
+          TimeUnit.MILLISECONDS);
+      return answer;
     }
 
     @Override
--- a/src/test/java/io/dragonflyturn/internal/dispatch/FakeRunPlan.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/FakeRunPlan.java
@@ -11,6 +11,7 @@
   private final Map<String, Double> speeds = new HashMap<>();
   private final Set<String> failingWorkers = new HashSet<>();
   private final Set<String> finishedEarly = new HashSet<>();
+  private final Map<String, Long> workBySteps = new HashMap<>();
   private LongUnaryOperator workByStart = start -> 3_000;
   private long runsStarted;
   private int runsToStall;
@@ -19,6 +20,10 @@
     workByStart = millis;
   }
 
+  void setWorkMillis(String stepKey, long millis) {
+    workBySteps.put(stepKey, millis);
+  }
+
   void setSpeed(String worker, double speed) {
     speeds.put(worker, speed);
   }
@@ -40,8 +45,9 @@
     runsStarted++;
     boolean stalls = runsToStall > 0;
     runsToStall = Math.max(0, runsToStall - 1);
-    long totalMillis =
-        (long) (workByStart.applyAsLong(runsStarted) / speeds.getOrDefault(worker, 1.0));
+    Long stepMillis = workBySteps.get(task.substring(0, task.lastIndexOf('.')));
+    long workMillis = stepMillis == null ? workByStart.applyAsLong(runsStarted) : stepMillis;
+    long totalMillis = (long) (workMillis / speeds.getOrDefault(worker, 1.0));
     return FakeRun.begun(
         number,
         clockMillis,
--- a/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorker.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorker.java
@@ -31,6 +31,8 @@
   private final Map<String, Integer> lastRuns = new HashMap<>();
   private final List<EndedTask> ended = new ArrayList<>();
   private long startMillis;
+  private long firstClockMillis;
+  private double clockRate = 1;
   private long fence;
   private long leaseUntilMillis;
   private long lastEndNumber;
@@ -51,13 +53,15 @@
     return incarnation;
   }
 
-  /** Starts the worker's clock anew. */
-  void startClock() {
+  /** Starts the worker's clock anew, which shows a first time and runs at a rate from then on. */
+  void startClock(long clockMillis, double rate) {
     startMillis = loop.millis();
+    firstClockMillis = clockMillis;
+    clockRate = rate;
   }
 
   long clock() {
-    return loop.millis() - startMillis;
+    return firstClockMillis + (long) ((loop.millis() - startMillis) * clockRate);
   }
 
   WorkerRegistration registration(boolean draining, long drainRemainingMillis) {
@@ -83,11 +87,19 @@
     return running.containsKey(task);
   }
 
+  int runNumber(String task) {
+    return Objects.requireNonNull(running.get(task)).number();
+  }
+
   /** Loses a run, without an end. */
   void forget(String task) {
     running.remove(task);
   }
 
+  private void tell(String event) {
+    fleet.audit.tell(id + " life " + incarnation + " at its " + clock() + " " + event);
+  }
+
   private void extendLease(long untilMillis) {
     leaseUntilMillis =
         Math.max(leaseUntilMillis, Math.min(untilMillis, clock() + fleet.maximumLeaseMillis()));
@@ -99,6 +111,9 @@
       return new OrderAnswer.Refused(Reason.FENCED);
     }
     fence = order.fence();
+    if (order.leaseUntilMillis() <= clock()) {
+      return new OrderAnswer.Refused(Reason.LATE);
+    }
     extendLease(order.leaseUntilMillis());
     FakeRun present = running.get(order.task());
     if (present != null && present.number() == order.runNumber()) {
@@ -107,6 +122,7 @@
     if (lastRuns.getOrDefault(order.task(), 0) >= order.runNumber()) {
       return new OrderAnswer.Refused(Reason.OLD_RUN);
     }
+    tell("starts " + order.task() + " run " + order.runNumber() + ", fence " + fence);
     running.put(order.task(), fleet.begin(this, order));
     lastRuns.put(order.task(), order.runNumber());
     gangs.recordAssembly(order.task(), order.runNumber());
@@ -145,7 +161,8 @@
     for (EndedTask end : List.copyOf(ended)) {
       if (end.endNumber() <= endNumber) {
         ended.remove(end);
-        fleet.markAcknowledged(end);
+        tell("forgets the end of " + end.task() + " run " + end.runNumber());
+        fleet.audit.acknowledged(end);
       }
     }
   }
@@ -173,6 +190,7 @@
   void end(String task, EndKind kind) {
     final FakeRun run = Objects.requireNonNull(running.remove(task));
     lastEndNumber++;
+    tell("ends " + task + " run " + run.number() + " " + kind + ", end " + lastEndNumber);
     gangs.breakGang(task, kind);
     if (kind == EndKind.STOPPED) {
       fleet.countStopped();
--- a/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
@@ -1,7 +1,5 @@
 package io.dragonflyturn.internal.dispatch;
 
-import io.dragonflyturn.internal.fleet.EndKind;
-import io.dragonflyturn.internal.fleet.EndedTask;
 import io.dragonflyturn.internal.fleet.OrderAnswer;
 import io.dragonflyturn.internal.fleet.OrderAnswer.Reason;
 import io.dragonflyturn.internal.fleet.PollAnswer;
@@ -11,7 +9,6 @@
 import io.dragonflyturn.internal.fleet.WorkerGateway;
 import io.dragonflyturn.internal.fleet.WorkerRegistration;
 import io.dragonflyturn.internal.workload.Resources;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -40,13 +37,10 @@
   private final Set<String> disconnected = new HashSet<>();
   private final Set<String> failing = new HashSet<>();
   private final FakeGangs gangs = new FakeGangs(workers.values());
-  private final List<String> violations = new ArrayList<>();
+  final FakeAudit audit = new FakeAudit();
   private final Map<String, Long> slowAnswerMillis = new HashMap<>();
   private final Map<String, Long> heldBackMillis = new HashMap<>();
-  private final Map<String, Integer> starts = new HashMap<>();
-  private final Set<String> acknowledgedDone = new HashSet<>();
   private final FakeRunPlan plan = new FakeRunPlan();
-  private final Map<String, Integer> tasksStarted = new HashMap<>();
   private int answersToLose;
   private long startDelayMillis;
   private long unhealthyUntilMillis;
@@ -100,6 +94,11 @@
     plan.setWorkMillis(millis);
   }
 
+  /** Sets how long the tasks of a step take, whatever is set for other runs. */
+  void setWorkMillis(String stepKey, long millis) {
+    plan.setWorkMillis(stepKey, millis);
+  }
+
   /** Sets how fast a worker runs tasks; 0.5 takes twice as long as the usual 1. */
   void setSpeed(String id, double speed) {
     plan.setSpeed(id, speed);
@@ -107,7 +106,7 @@
 
   /** Returns how many tasks a worker has started. */
   int tasksStarted(String id) {
-    return tasksStarted.getOrDefault(id, 0);
+    return audit.startsOn(id);
   }
 
   /** Disconnects a worker from the leader. Its runs continue until the lease expires. */
@@ -157,9 +156,14 @@
    * fencing token, and its clock starts anew. Polls that wait at its former life stay unanswered.
    */
   void restart(String id) {
+    restart(id, 0, 1);
+  }
+
+  /** Starts a worker again, whose clock shows a first time and runs at a rate from then on. */
+  void restart(String id, long clockMillis, double clockRate) {
     worker(id).expire();
     FakeWorker next = new FakeWorker(id, worker(id).incarnation() + 1, this, gangs, loop);
-    next.startClock();
+    next.startClock(clockMillis, clockRate);
     workers.put(id, next);
   }
 
@@ -211,7 +215,7 @@
    */
   List<String> violations() {
     workers.values().forEach(FakeWorker::expire);
-    return violations;
+    return audit.violations();
   }
 
   /** Returns the number of runs that were stopped by an order. */
@@ -225,7 +229,7 @@
   }
 
   int starts(String task) {
-    return starts.getOrDefault(task, 0);
+    return audit.starts(task);
   }
 
   Set<String> runningTasks() {
@@ -257,14 +261,7 @@
 
   /** Creates the run that a worker starts now, and checks that it may be started. */
   FakeRun begin(FakeWorker worker, StartOrder order) {
-    if (!workerOf(order.task()).isEmpty()) {
-      violations.add(order.task() + " runs twice");
-    }
-    if (acknowledgedDone.contains(order.task())) {
-      violations.add(order.task() + " starts again after its end was acknowledged");
-    }
-    tasksStarted.merge(worker.id(), 1, Integer::sum);
-    starts.merge(order.task(), 1, Integer::sum);
+    audit.started(worker.id(), order.task(), order.runNumber(), activeRun(order.task()));
     return plan.next(worker.id(), order.task(), order.runNumber(), worker.clock());
   }
 
@@ -272,13 +269,13 @@
     stoppedRuns++;
   }
 
-  void markAcknowledged(EndedTask end) {
-    if (end.kind() == EndKind.DONE) {
-      acknowledgedDone.add(end.task());
-    }
+  /** Returns the number of the active run of a task; 0 if there is none. */
+  private int activeRun(String task) {
+    String worker = workerOf(task);
+    return worker.isEmpty() ? 0 : worker(worker).runNumber(task);
   }
 
-  private FakeWorker worker(String id) {
+  FakeWorker worker(String id) {
     return Objects.requireNonNull(workers.get(id));
   }
 
