Complete a task by the end of a run that had been given up

Cause: a run that completes behind a cut is given up when its leases have ended. Its end is listed later; it matched no run that the leader still followed, had no effect, and was acknowledged. The next run was lost or not yet placed, and the task started again.

Now such an end completes the task, and its present run is stopped.

--- a/src/main/java/io/dragonflyturn/internal/dispatch/ActiveJob.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/ActiveJob.java
@@ -236,13 +236,19 @@
 
   /** Returns the run of a unit; null if there is no such unit, or if it has none. */
   @Nullable ActiveRun runOf(UnitKey key) {
+    WorkUnit unit = unitOf(key);
+    return unit == null ? null : unit.run();
+  }
+
+  /** Returns the unit with a key, or to which the task with that key belongs; null if none does. */
+  @Nullable WorkUnit unitOf(UnitKey key) {
     List<List<WorkUnit>> unitsByStep = unitsByOccurrence.get(key.occurrence());
     if (unitsByStep == null || key.stepIndex() >= unitsByStep.size()) {
       return null;
     }
     List<WorkUnit> units = unitsByStep.get(key.stepIndex());
-    int index = Math.max(0, key.taskIndex());
-    return index < units.size() ? units.get(index).run() : null;
+    int index = units.getFirst().isGang() ? 0 : Math.max(0, key.taskIndex());
+    return index < units.size() ? units.get(index) : null;
   }
 
   /** Returns the number of unresolved members of a step on each worker that has any. */
--- a/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
@@ -247,6 +247,19 @@
     }
   }
 
+  @Override
+  public void earlierRunCompleted(String task) {
+    UnitKey key = UnitKey.parse(task);
+    if (key == null) {
+      return;
+    }
+    ActiveJob job = jobs.get(key.job());
+    WorkUnit unit = job == null || job.isEnding() ? null : job.unitOf(key);
+    if (unit != null) {
+      driver.completeByEarlierRun(unit);
+    }
+  }
+
   @Override
   public void unitCompleted(WorkUnit unit) {
     updateJob(unit.job());
--- a/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/RunDriver.java
@@ -253,6 +253,22 @@
     store(unit, () -> listener.unitCompleted(unit));
   }
 
+  /**
+   * Completes a unit of which an earlier run has completed, though that run was given up. The
+   * present run is stopped.
+   */
+  void completeByEarlierRun(WorkUnit unit) {
+    if (unit.isDone() || unit.step().endless()) {
+      return;
+    }
+    unit.markDone();
+    store(unit, () -> listener.unitCompleted(unit));
+    ActiveRun run = unit.run();
+    if (run != null) {
+      abort(run, "earlier-run-completed");
+    }
+  }
+
   private void handleFailure(Member member) {
     ActiveRun run = member.run();
     WorkUnit unit = run.unit();
@@ -284,6 +300,12 @@
     /** Called when a worker has started again, so that it must be polled. */
     void workerRestarted(WorkerSession session);
 
+    /**
+     * Called when a worker lists that a run of a task has completed that this leader does not
+     * follow any more.
+     */
+    void earlierRunCompleted(String task);
+
     /** Called when the completion of a unit is stored. */
     void unitCompleted(WorkUnit unit);
 
--- a/src/main/java/io/dragonflyturn/internal/dispatch/RunReconciler.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/RunReconciler.java
@@ -24,18 +24,21 @@
   private final RunDriver driver;
   private final WorkerHealth health;
   private final PaceObserver paces;
+  private final RunDriver.Listener listener;
 
   RunReconciler(
       DispatchContext context,
       long term,
       RunDriver driver,
       WorkerHealth health,
-      PaceObserver paces) {
+      PaceObserver paces,
+      RunDriver.Listener listener) {
     this.context = context;
     this.term = term;
     this.driver = driver;
     this.health = health;
     this.paces = paces;
+    this.listener = listener;
   }
 
   /**
@@ -112,6 +115,8 @@
     Member member = session.member(ended.task());
     if (member != null && member.run().number() == ended.runNumber()) {
       driver.resolve(member, ended.kind(), ended.checkpoint());
+    } else if (ended.kind() == EndKind.DONE) {
+      listener.earlierRunCompleted(ended.task());
     }
   }
 
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkerPoller.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerPoller.java
@@ -64,7 +64,7 @@
     this.driver = driver;
     this.health = health;
     this.listener = listener;
-    this.reconciler = new RunReconciler(context, term, driver, health, paces);
+    this.reconciler = new RunReconciler(context, term, driver, health, paces, listener);
   }
 
   void close() {
--- a/src/test/java/io/dragonflyturn/internal/dispatch/RestartOrdersTest.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/RestartOrdersTest.java
@@ -5,7 +5,6 @@
 import io.dragonflyturn.internal.dispatch.RestartOrdersPlay.Violations;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 import java.util.function.Function;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.BeforeAll;
@@ -18,7 +17,9 @@
 class RestartOrdersTest {
   private static final int SEEDS = 3_000;
   private static final int REPORTED_SEEDS = 3;
-  private static final Set<Long> FAILING_SEEDS = Set.of(1052L, 13_965L);
+
+  /** A seed beyond the others in which a start that was lost for long ran beside the next run. */
+  private static final long LONG_LOST_START_SEED = 13_965;
 
   private static final List<Play> PLAYS = new ArrayList<>();
 
@@ -42,14 +43,8 @@
 
   @Test
   void should_not_run_a_task_twice_at_the_same_time() {
-    List<Play> plays = PLAYS.stream().filter(play -> !FAILING_SEEDS.contains(play.seed())).toList();
-    assertNone(plays, Violations::simultaneousRuns);
-  }
-
-  /** A late start for a former life runs on behind a cut, though its run has been given up. */
-  @Test
-  void should_not_run_a_task_twice_on_the_seeds_that_fail() {
-    assertNone(FAILING_SEEDS.stream().map(Play::of).toList(), Violations::simultaneousRuns);
+    assertNone(PLAYS, Violations::simultaneousRuns);
+    assertNone(List.of(Play.of(LONG_LOST_START_SEED)), Violations::simultaneousRuns);
   }
 
   /** The end of a run that had been given up is acknowledged without effect. */
