--- a/review/standins-3/WorkerServer.java
+++ b/review/standins-3/WorkerServer.java
@@ -51,6 +51,8 @@
   private long lastHeartbeatMillis;
   private boolean registered;
   private volatile boolean grey;
+  private volatile String lateTask = "";
+  private volatile long lateMillis;
   private final Map<String, Run> running = new LinkedHashMap<>();
   private final Map<String, Integer> closedRuns = new HashMap<>();
   private final List<End> ends = new ArrayList<>();
@@ -230,6 +232,11 @@
     try (exchange) {
       JsonNode order = StoreServer.JSON.readTree(exchange.getRequestBody().readAllBytes());
       String path = exchange.getRequestURI().getPath();
+      if (path.equals("/v1/run-start") && order.path("task").asText().startsWith(lateTask)
+          && !lateTask.isEmpty()) {
+        carryOutLate(path, order);
+        return;
+      }
       carryOut(exchange, path, order);
     } catch (IOException closed) {
       // The caller is gone, or this worker has crashed.
@@ -267,6 +274,21 @@
     StoreServer.answerJson(exchange, status, answer);
   }
 
+  /** Leaves the start orders of a job unanswered, and carries them out late. */
+  void answerLate(String job, long millis) {
+    lateMillis = millis;
+    lateTask = job;
+  }
+
+  private void carryOutLate(String path, JsonNode order) throws Exception {
+    record.line(id, "leaves unanswered for " + lateMillis + " ms: " + order);
+    Thread.sleep(lateMillis);
+    synchronized (this) {
+      String refusal = up ? carryOut(path, order, StoreServer.JSON.createObjectNode()) : "down";
+      record.line(id, "carries out late: " + order + " -> " + (refusal == null ? "ok" : refusal));
+    }
+  }
+
   /** Carries out an order, answered or not; returns the reason of a refusal or null. */
   synchronized String carryOut(String path, JsonNode order, ObjectNode answer) throws Exception {
     long orderFence = order.path("fence").asLong();
