Review case 13: a guarantee is split over workers and not reclaimed

Cause: runs within one guarantee are never moved for another one, and are placed wherever an accelerator is free. Case: a burst leaves one accelerator on each worker, one tenant's urgent tasks take these, and another tenant's urgent job needs a whole worker.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -8,4 +8,4 @@
   exit 2
 fi
 exec "$root/target/jdk/bin/java" -Djdk.httpclient.allowRestrictedHeaders=host \
-  -cp "$root/target/review-3:$root/target/libraries/*" HeldGuarantee "$root" "$folder"
+  -cp "$root/target/review-3:$root/target/libraries/*" SplitGuarantee "$root" "$folder"
