Review case 11: crash when the task is at work elsewhere

The script waits for the states that it needs, so that the worker is back 2 s before the late orders.

--- a/review/standins-3/LateStart.java
+++ b/review/standins-3/LateStart.java
@@ -11,9 +11,10 @@
   private static final int WORKERS = 8;
   private static final int SMALL_TASKS = 64;
   private static final long LATE_MILLIS = 11_900;
-  private static final long CRASH_MILLIS = 6_600;
+  private static final long PLACED_AGAIN_MILLIS = 8_000;
+  private static final long BOOT_MILLIS = 200;
+  private static final long WATCHED_MILLIS = 22_000;
   private static final long OTHER_JOB_MILLIS = 2_300;
-  private static final long DOWN_MILLIS = 4_700;
   private static final String JOB = "00000000000000a1";
 
   private LateStart() {}
@@ -66,14 +67,30 @@
     deployment.submit(
         3, "/q1/0000000000abc001", "{\"spec\":\"ms=40000\",\"steps\":[{\"replicas\":1,\"cpu\":4000,"
             + "\"memMb\":4000,\"gpu\":4,\"estimateMs\":40000}]}");
-    Deployment.pause(submitted + CRASH_MILLIS - deployment.record.now());
     if (trouble) {
+      while (!runsElsewhere(running, worker)) {
+        if (deployment.record.now() > submitted + PLACED_AGAIN_MILLIS) {
+          throw new IllegalStateException("The task was not placed again in time.");
+        }
+        Deployment.pause(10);
+      }
       worker.losePower();
-      Deployment.pause(DOWN_MILLIS);
+      while (worker.isRegistered()) {
+        Deployment.pause(10);
+      }
       worker.answerLate("", 0);
+      Deployment.pause(BOOT_MILLIS);
       worker.boot(worker.kind());
     }
-    Deployment.pause(12_000);
+    Deployment.pause(submitted + WATCHED_MILLIS - deployment.record.now());
     return broken.isEmpty();
   }
+
+  private static boolean runsElsewhere(Map<String, String> running, WorkerServer worker) {
+    synchronized (running) {
+      return running.entrySet().stream()
+          .anyMatch(
+              run -> run.getKey().startsWith(JOB) && !run.getValue().startsWith(worker.id + " "));
+    }
+  }
 }
--- a/review/standins-3/WorkerServer.java
+++ b/review/standins-3/WorkerServer.java
@@ -107,6 +107,10 @@
     return List.copyOf(running.values());
   }
 
+  synchronized boolean isRegistered() {
+    return registered;
+  }
+
   synchronized boolean isUp() {
     return up;
   }
