Search over crashes, workers that leave the list, and their return, failing

The same play now also draws workers that crash, silently or refusing, whose registration lapses after two to three heartbeats, and that are back under their ids while orders for them may still come. Each play ends with a crash beside idle workers: what is placed meanwhile must have completed 14 s later.

--- a/src/test/java/io/dragonflyturn/internal/dispatch/DisturbedGateway.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/DisturbedGateway.java
@@ -132,6 +132,10 @@
   }
 
   private <T> void carryOut(Sent<T> sent, FakeWorker sentTo, Function<FakeWorker, T> action) {
+    if (workers.isDown(sent.worker().id())) {
+      observer.accept("lost with the crash, " + sent.describe());
+      return;
+    }
     FakeWorker life = workers.worker(sent.worker().id());
     int violationsBefore = workers.violations().size();
     observer.accept(
--- a/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
@@ -35,12 +35,15 @@
   private final ManualLoop loop;
   private final Map<String, FakeWorker> workers = new LinkedHashMap<>();
   private final Set<String> disconnected = new HashSet<>();
+  private final Set<String> down = new HashSet<>();
+  private final Set<String> refusing = new HashSet<>();
   private final Set<String> failing = new HashSet<>();
   private final FakeGangs gangs = new FakeGangs(workers.values());
   final FakeAudit audit = new FakeAudit();
   private final Map<String, Long> slowAnswerMillis = new HashMap<>();
   private final Map<String, Long> heldBackMillis = new HashMap<>();
   private final FakeRunPlan plan = new FakeRunPlan();
+  private final Map<String, Resources> capacities = new HashMap<>();
   private int answersToLose;
   private long startDelayMillis;
   private long unhealthyUntilMillis;
@@ -75,6 +78,15 @@
     return worker(id).registration(true, remainingMillis);
   }
 
+  /** Sets the capacity that a worker reports from now on. */
+  void setCapacity(String id, Resources capacity) {
+    capacities.put(id, capacity);
+  }
+
+  Resources capacity(String id) {
+    return capacities.getOrDefault(id, CAPACITY);
+  }
+
   /** Sets the longest lease that workers accept; they shorten a longer one. */
   void setMaximumLeaseMillis(long millis) {
     maximumLeaseMillis = millis;
@@ -161,10 +173,43 @@
 
   /** Starts a worker again, whose clock shows a first time and runs at a rate from then on. */
   void restart(String id, long clockMillis, double clockRate) {
+    down.remove(id);
+    refusing.remove(id);
+    beginLife(id).startClock(clockMillis, clockRate);
+  }
+
+  private FakeWorker beginLife(String id) {
     worker(id).expire();
     FakeWorker next = new FakeWorker(id, worker(id).incarnation() + 1, this, gangs, loop);
-    next.startClock(clockMillis, clockRate);
     workers.put(id, next);
+    return next;
+  }
+
+  /**
+   * Ends a worker without a word. Until it is restarted it runs nothing and carries out no order.
+   *
+   * @param refuses whether its host still answers that nothing listens there; otherwise silence
+   */
+  void crash(String id, boolean refuses) {
+    beginLife(id);
+    down.add(id);
+    if (refuses) {
+      refusing.add(id);
+    }
+  }
+
+  /** Returns whether a worker has crashed and not started again. */
+  boolean isDown(String id) {
+    return down.contains(id);
+  }
+
+  private boolean isSilent(String id) {
+    return disconnected.contains(id) || down.contains(id);
+  }
+
+  /** Returns how long it takes until an order that gets no answer is given up. */
+  private long giveUpMillis(String id, long timeoutMillis) {
+    return refusing.contains(id) ? ANSWER_DELAY_MILLIS : timeoutMillis;
   }
 
   /** Sets the checkpoint that workers name for all runs. */
@@ -310,10 +355,10 @@
   private CompletableFuture<OrderAnswer> order(
       String id, Function<FakeWorker, OrderAnswer> action) {
     CompletableFuture<OrderAnswer> answer = new CompletableFuture<>();
-    if (disconnected.contains(id)) {
+    if (isSilent(id)) {
       loop.schedule(
           () -> answer.complete(new OrderAnswer.Unanswered()),
-          ORDER_TIMEOUT_MILLIS,
+          giveUpMillis(id, ORDER_TIMEOUT_MILLIS),
           TimeUnit.MILLISECONDS);
       return answer;
     }
@@ -341,10 +386,10 @@
       throw new IllegalStateException("the worker cannot be polled");
     }
     CompletableFuture<PollAnswer> answer = new CompletableFuture<>();
-    if (disconnected.contains(worker.id())) {
+    if (isSilent(worker.id())) {
       loop.schedule(
           () -> answer.complete(new PollAnswer.Unanswered()),
-          order.waitMillis() + POLL_TIMEOUT_MARGIN_MILLIS,
+          giveUpMillis(worker.id(), order.waitMillis() + POLL_TIMEOUT_MARGIN_MILLIS),
           TimeUnit.MILLISECONDS);
       return answer;
     }
--- a/src/test/java/io/dragonflyturn/internal/dispatch/RestartOrdersPlay.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/RestartOrdersPlay.java
@@ -21,7 +21,16 @@
   private static final long LONGEST_DELAY_MILLIS = 12_000;
   private static final long LONGEST_WORK_MILLIS = 15_000;
   private static final long LONGEST_UPTIME_MILLIS = 600_000;
+  private static final int CRASH_PERCENT = 30;
   private static final long HEALED_STEP_MILLIS = 1_000;
+  private static final long HEARTBEAT_MILLIS = 1_500;
+  private static final long SHORT_WORK_MILLIS = 1_000;
+
+  /**
+   * How long a job may take that is submitted after a worker has crashed, while the others are
+   * idle: from then on, no job may be without a run.
+   */
+  private static final long PLACED_AGAIN_MILLIS = 14_000;
 
   /**
    * How long all jobs may take once everything has healed: for orders that are still held back, for
@@ -31,20 +40,35 @@
       LONGEST_DELAY_MILLIS + 2 * LONG_MAXIMUM_LEASE_MILLIS + 2 * LONGEST_WORK_MILLIS;
 
   private final Random random;
+  private final Mix mix;
   private final DispatchFixture fixture = new DispatchFixture(false);
   private final List<Instance> instances = new ArrayList<>();
   private final List<String> workers = new ArrayList<>();
   private final List<String> jobs = new ArrayList<>();
   private final List<String> history = new ArrayList<>();
+  private final List<String> waiting = new ArrayList<>();
   private int submitted;
   private boolean healed;
 
   RestartOrdersPlay(long seed) {
+    this(seed, Mix.RESTARTS);
+  }
+
+  RestartOrdersPlay(long seed, Mix mix) {
+    this.mix = mix;
     random = new Random(seed);
     fixture.workers.audit.setObserver(this::record);
     fixture.orders.setObserver(this::record);
   }
 
+  /** Which events a play draws from. */
+  enum Mix {
+    /** Workers that start again at once, and whose registration is late. */
+    RESTARTS,
+    /** In addition, workers that crash, leave the list, and may be back under their identifiers. */
+    CRASHES
+  }
+
   /**
    * What a play violated.
    *
@@ -53,17 +77,20 @@
    * @param byLateStarts both of these, where the start that did it was sent to one life of a worker
    *     and carried out in a later one, or the run beside it began after a later run had begun
    * @param incomplete jobs that were accepted and have not completed
+   * @param waiting jobs that waited for a crashed worker for too long, beside idle ones
    */
   record Violations(
       List<String> simultaneousRuns,
       List<String> startsOfDoneTasks,
       List<String> byLateStarts,
-      List<String> incomplete) {
+      List<String> incomplete,
+      List<String> waiting) {
     boolean isEmpty() {
       return simultaneousRuns.isEmpty()
           && startsOfDoneTasks.isEmpty()
           && byLateStarts.isEmpty()
-          && incomplete.isEmpty();
+          && incomplete.isEmpty()
+          && waiting.isEmpty();
     }
   }
 
@@ -77,6 +104,9 @@
     }
     heal();
     waitForCompletion();
+    if (mix == Mix.CRASHES && areAllCompleted()) {
+      placeOnCrashedWorker();
+    }
     return violations();
   }
 
@@ -92,7 +122,8 @@
         others.stream().filter(each -> each.endsWith(FakeAudit.RUNS_TWICE)).toList(),
         others.stream().filter(each -> !each.endsWith(FakeAudit.RUNS_TWICE)).toList(),
         byLateStarts,
-        jobs.stream().filter(job -> !isCompleted(job)).toList());
+        jobs.stream().filter(job -> !isCompleted(job)).toList(),
+        waiting);
   }
 
   /** Returns the events so far, one a line, with their times. */
@@ -123,6 +154,10 @@
   }
 
   private void playEvent() {
+    if (mix == Mix.CRASHES && chance(CRASH_PERCENT)) {
+      crash(worker());
+      return;
+    }
     int choice = random.nextInt(100);
     if (choice < 17) {
       submit();
@@ -199,7 +234,71 @@
     }
   }
 
+  /** Ends a worker, whose registration lapses, and starts it again some time later. */
+  private void crash(String worker) {
+    boolean refuses = chance(30);
+    final long lapseMillis = between(2 * HEARTBEAT_MILLIS, 3 * HEARTBEAT_MILLIS);
+    final long downMillis = between(200, LONGEST_DELAY_MILLIS);
+    record(worker + " crashes for " + downMillis + " ms" + (refuses ? ", refusing" : ""));
+    fixture.registry.withhold(worker);
+    fixture.workers.crash(worker, refuses);
+    long incarnation = fixture.workers.registration(worker).incarnation();
+    later(lapseMillis, () -> lapse(worker, incarnation));
+    later(downMillis, () -> boot(worker, incarnation));
+  }
+
+  private boolean isStillDown(String worker, long incarnation) {
+    return fixture.workers.isDown(worker)
+        && fixture.workers.registration(worker).incarnation() == incarnation;
+  }
+
+  private void lapse(String worker, long incarnation) {
+    if (isStillDown(worker, incarnation)) {
+      record(worker + " has left the list");
+      fixture.unregister(worker);
+    }
+  }
+
+  private void boot(String worker, long incarnation) {
+    if (!isStillDown(worker, incarnation)) {
+      return;
+    }
+    fixture.workers.restart(worker, between(0, chance(70) ? 0 : 300_000), clockRate());
+    long booted = fixture.workers.registration(worker).incarnation();
+    long delayMillis = chance(60) ? 0 : between(20, 300);
+    record(worker + " boots as life " + booted + ", registered after " + delayMillis + " ms");
+    later(delayMillis, () -> register(worker, booted));
+  }
+
+  /**
+   * Crashes a worker for good while all are idle, and submits a task for each worker before the
+   * registration has lapsed.
+   */
+  private void placeOnCrashedWorker() {
+    fixture.advance(LONGEST_DELAY_MILLIS);
+    String crashed = worker();
+    boolean refuses = chance(30);
+    record(crashed + " crashes for good" + (refuses ? ", refusing" : ""));
+    fixture.registry.withhold(crashed);
+    fixture.workers.crash(crashed, refuses);
+    fixture.loop.schedule(
+        () -> fixture.unregister(crashed),
+        between(2 * HEARTBEAT_MILLIS, 3 * HEARTBEAT_MILLIS),
+        TimeUnit.MILLISECONDS);
+    fixture.advance(between(0, 2 * HEARTBEAT_MILLIS));
+    fixture.workers.setWorkMillis("last.0.0", SHORT_WORK_MILLIS);
+    StepSpecification step = DispatchFixture.step(workers.size(), false, FakeWorkers.CAPACITY);
+    fixture.submit("last", 1, step);
+    fixture.advance(PLACED_AGAIN_MILLIS);
+    if (!isCompleted("last")) {
+      waiting.add("last");
+    }
+  }
+
   private void register(String worker, long incarnation) {
+    if (fixture.workers.isDown(worker)) {
+      return;
+    }
     if (fixture.workers.registration(worker).incarnation() == incarnation) {
       record(worker + " is registered, life " + incarnation);
       fixture.reportWorker(worker);
@@ -277,6 +376,7 @@
     fixture.orders.calm();
     fixture.store.loseAnswers(0);
     workers.forEach(fixture.workers::reconnect);
+    workers.stream().filter(fixture.workers::isDown).forEach(fixture.workers::restart);
     instances.forEach(Instance::reconnect);
     fixture.reportWorkers();
   }
@@ -316,7 +416,10 @@
   }
 
   private String worker() {
-    return workers.get(random.nextInt(workers.size()));
+    List<String> running =
+        workers.stream().filter(worker -> !fixture.workers.isDown(worker)).toList();
+    List<String> choice = running.isEmpty() ? workers : running;
+    return choice.get(random.nextInt(choice.size()));
   }
 
   private long pauseMillis() {
