Do not repeat a start to a life of the worker that it was not planned for

Cause: an unanswered start was repeated with the fencing token of whatever life the worker had by then. Label, capacity and service were those of the life for which the planner chose the worker.

A member remembers the life that it was planned for. Once its worker has started again it is uncertain, as a confirmed one was already: the first list of the new life tells whether a late start came through; if not, the unit is placed again. A start that is still queued is withdrawn.

RestartedWorkerTest#should_not_repeat_a_start_to_a_life_that_it_was_not_ planned_for failed before (the new boot started the task).

--- a/src/main/java/io/dragonflyturn/internal/dispatch/Member.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/Member.java
@@ -1,7 +1,6 @@
 package io.dragonflyturn.internal.dispatch;
 
 import java.util.function.LongSupplier;
-import org.jspecify.annotations.Nullable;
 
 /**
  * A member of a run: one task on the worker that it is placed on. Times are in milliseconds of the
@@ -36,10 +35,10 @@
   private final ActiveRun run;
   private final WorkerSession session;
   private final String task;
+  private final WorkerLife plannedLife;
   private final boolean adopted;
   private State state;
   private int startAttempts;
-  private @Nullable WorkerLife sentLife;
   private long sentWorkerMillis;
   private boolean lostStart;
   private long lostStartMillis;
@@ -77,6 +76,7 @@
     this.run = run;
     this.session = session;
     this.task = task;
+    this.plannedLife = session.life();
     this.state = state;
     this.adopted = state == State.UNCERTAIN;
   }
@@ -132,7 +132,6 @@
   void markSent(long nowMillis) {
     state = State.SENT;
     sentMillis = nowMillis;
-    sentLife = session.life();
     sentWorkerMillis = session.workerTimeMillis(nowMillis);
     startAttempts++;
   }
@@ -147,9 +146,12 @@
     return sentWorkerMillis;
   }
 
-  /** Returns whether the last start order was made for the present life of the worker. */
-  boolean isSentToPresentLife() {
-    return sentLife == session.life();
+  /**
+   * Returns whether the worker has not started again since the member was placed there. A later
+   * life may have another capacity or other labels, so the member must not be started in it.
+   */
+  boolean isPlannedForPresentLife() {
+    return plannedLife == session.life();
   }
 
   /** Records that a start order was given up, or was answered by a life it was not made for. */
@@ -179,7 +181,7 @@
     listedMillis = session.workerTimeMillis(nowMillis);
     progressMillis = listedMillis;
     paceFromPercent = -1;
-    if (state == State.CONFIRMED) {
+    if (state == State.SENT || state == State.CONFIRMED) {
       state = State.UNCERTAIN;
     }
   }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/StartOrders.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/StartOrders.java
@@ -64,6 +64,8 @@
     WorkUnit unit = run.unit();
     if (unit.job().isEnding()) {
       driver.abort(run, "job-ended");
+    } else if (!member.isPlannedForPresentLife()) {
+      driver.abort(run, "worker-restarted");
     } else if (context.rules().isOutOfService(member.session().registration().failureDomain())) {
       driver.abort(run, "failure-domain-out");
     } else if (!run.isAborting() && !driver.quota().admitStart(run)) {
@@ -108,7 +110,7 @@
 
   private void taken(Member member, Taken taken) {
     WorkerSession session = member.session();
-    if (!member.isSentToPresentLife()) {
+    if (!member.isPlannedForPresentLife()) {
       lost(member, "former-life");
     } else if (taken.clockMillis() < member.sentWorkerMillis()) {
       events.clockBehind(member, taken.clockMillis());
@@ -132,7 +134,7 @@
   private void refused(Member member, OrderAnswer.Reason reason) {
     boolean tellsOfFormerLife =
         reason == OrderAnswer.Reason.FENCED || reason == OrderAnswer.Reason.OLD_RUN;
-    if (tellsOfFormerLife && !member.isSentToPresentLife()) {
+    if (tellsOfFormerLife && !member.isPlannedForPresentLife()) {
       lost(member, "former-life");
       return;
     }
@@ -166,8 +168,8 @@
   }
 
   /**
-   * Repeats a start order of which it is not known whether the present life of the worker has
-   * executed it.
+   * Repeats a start order of which it is not known whether the worker has executed it, unless the
+   * worker has started again meanwhile: then its list tells.
    */
   private void lost(Member member, String outcome) {
     events.startOrdered(member, outcome);
--- a/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorker.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorker.java
@@ -72,7 +72,7 @@
         id + ":1",
         "north",
         List.of("a", "r1"),
-        FakeWorkers.CAPACITY,
+        fleet.capacity(id),
         draining,
         drainRemainingMillis,
         0,
--- a/src/test/java/io/dragonflyturn/internal/dispatch/RestartedWorkerTest.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/RestartedWorkerTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.dragonflyturn.internal.workload.Resources;
+import io.dragonflyturn.internal.workload.StepSpecification;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -154,6 +156,28 @@
     assertThat(fixture.workers.runningTasks()).containsExactly("a.0.0.0");
   }
 
+  /** A boot with fewer accelerators took a start that was planned for the life before. */
+  @Test
+  void should_not_repeat_a_start_to_a_life_that_it_was_not_planned_for() {
+    addIdleWorker();
+    StepSpecification wholeWorker = DispatchFixture.step(1, false, FakeWorkers.CAPACITY);
+    fixture.submit("first", 1, wholeWorker);
+    fixture.advance(100);
+    String silent = fixture.workers.workerOf("first.0.0.0").equals("w1") ? "w2" : "w1";
+    fixture.workers.disconnect(silent);
+    fixture.submit("second", 1, wholeWorker);
+    fixture.advance(600);
+
+    fixture.workers.setCapacity(silent, new Resources(8_000, 16_000, 2));
+    fixture.workers.restart(silent);
+    fixture.workers.reconnect(silent);
+    fixture.reportWorker(silent);
+    fixture.advance(LONGEST_WAIT_MILLIS);
+
+    assertThat(fixture.workers.tasksStarted(silent)).isZero();
+    assertThat(fixture.workers.violations()).isEmpty();
+  }
+
   private void addIdleWorker() {
     fixture.workers.add("w2");
     fixture.reportWorker("w2");
