Tell what may be at work apart from what a later life must be told

Cause: one bound, kept in the session of a worker, answered two questions. It held a run open until the latest arrival of a lost start and a longest lease after it, whoever might carry it out; and it went with the session when the worker left the list, so that nobody owed the next life a poll.

Lost orders are remembered by id until they can come no more, beyond the session; who is back under such an id is polled before it gets work, and so are the young lives that a successor meets in its first 24 s. A worker that left a start unanswered gets no work until it answers; the poll that asks it doesn't wait.

--- a/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LeaderTerm.java
@@ -62,8 +62,7 @@
     paces = new PaceObserver(context, term, health);
     driver = new RunDriver(context, term, leadershipLease, runsWriter, health, paces, this);
     poller = new WorkerPoller(context, term, leadershipLease, driver, health, paces, this);
-    fleet =
-        new WorkerFleet(context, term, startedMillis, driver, poller, paces, this::requestRound);
+    fleet = new WorkerFleet(context, term, startedMillis, driver, poller, paces, this);
     placementLoop =
         new PlacementLoop(context, term, runsWriter, fleet, jobs, health, driver, paces);
     runLoader = new RunLoader(context, this::runsLoaded);
--- a/src/main/java/io/dragonflyturn/internal/dispatch/Member.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/Member.java
@@ -165,9 +165,14 @@
     return lostStart;
   }
 
+  /** Returns whether a start order was lost, and it is not known yet whether it had an effect. */
+  boolean isStartInDoubt() {
+    return lostStart && state == State.SENT;
+  }
+
   /** Records that the present life has listed the member in its answer to a poll. */
   void markListed(long pollSentMillis) {
-    if (pollSentMillis > lostStartMillis + WorkerSession.LATE_ORDER_MILLIS) {
+    if (pollSentMillis > lostStartMillis + LateOrders.MAXIMUM_DELAY_MILLIS) {
       lostStart = false;
     }
   }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/StartOrders.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/StartOrders.java
@@ -97,10 +97,15 @@
   }
 
   private void answered(Member member, OrderAnswer answer) {
-    if (driver.isClosed() || member.isResolved()) {
+    if (driver.isClosed()) {
+      return;
+    }
+    if (member.isResolved()) {
+      answeredTooLate(member, answer);
       return;
     }
     gangStartDeadline.startOrderAnswered(member, answer);
+    member.session().setStartUnanswered(answer instanceof Unanswered);
     switch (answer) {
       case Taken taken -> taken(member, taken);
       case Refused refusal -> refused(member, refusal.reason());
@@ -108,6 +113,13 @@
     }
   }
 
+  /** Handles the answer to an order whose member is known to have ended meanwhile. */
+  private void answeredTooLate(Member member, OrderAnswer answer) {
+    if (answer instanceof Unanswered) {
+      member.session().orderLost(context.nowMillis());
+    }
+  }
+
   private void taken(Member member, Taken taken) {
     WorkerSession session = member.session();
     if (!member.isPlannedForPresentLife()) {
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkerFeed.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerFeed.java
@@ -1,6 +1,7 @@
 package io.dragonflyturn.internal.dispatch;
 
 import io.dragonflyturn.internal.fleet.RegistrationListener;
+import java.time.Duration;
 
 /**
  * Reports the registrations of workers while this instance is the leader. Used on the event loop.
@@ -14,4 +15,7 @@
 
   /** Returns whether all registered workers have been reported since the start. */
   boolean isSynced();
+
+  /** Returns how old the registrations may be that were reported last. */
+  Duration age();
 }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkerFleet.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerFleet.java
@@ -11,13 +11,23 @@
 
 /** The sessions of all workers that are registered or on which a run may exist. */
 final class WorkerFleet implements RegistrationListener {
+  private static final long FIRST_TERM = 1;
+
+  /**
+   * Added to the age of a life that a late order may have outlasted: for the time until the order
+   * was given up, and for clocks that differ.
+   */
+  private static final long LIFE_AGE_MARGIN_MILLIS = 6_000;
+
   private final DispatchContext context;
   private final FencingTokens fencingTokens;
+  private final LateOrders lateOrders;
+  private final RegistryView registryView;
   private final long electedMillis;
   private final RunDriver driver;
   private final WorkerPoller poller;
   private final PaceObserver paces;
-  private final Runnable requestRound;
+  private final RunDriver.Listener listener;
   private final Map<String, WorkerSession> sessions = new LinkedHashMap<>();
 
   WorkerFleet(
@@ -27,14 +37,17 @@
       RunDriver driver,
       WorkerPoller poller,
       PaceObserver paces,
-      Runnable requestRound) {
+      RunDriver.Listener listener) {
     this.context = context;
     this.fencingTokens = new FencingTokens(term);
+    this.lateOrders =
+        term == FIRST_TERM ? LateOrders.ofFirstLeader() : LateOrders.ofSuccessor(electedMillis);
+    this.registryView = new RegistryView(context.workerFeed());
     this.electedMillis = electedMillis;
     this.driver = driver;
     this.poller = poller;
     this.paces = paces;
-    this.requestRound = requestRound;
+    this.listener = listener;
   }
 
   Map<String, WorkerSession> sessions() {
@@ -51,8 +64,12 @@
    * members.
    */
   void tick() {
+    long nowMillis = context.nowMillis();
+    lateOrders.forgetPast(nowMillis);
+    registryView.observe(nowMillis);
+    boolean knowsLives = registryView.isComplete(nowMillis);
     for (WorkerSession session : List.copyOf(sessions.values())) {
-      isolated(() -> poller.tick(session));
+      isolated(() -> poller.tick(session, knowsLives));
       paces.tick(session);
       if (session.isObsolete()) {
         session.close();
@@ -84,7 +101,11 @@
 
   private WorkerSession newSession(WorkerRegistration registration) {
     return new WorkerSession(
-        registration, fencingTokens, context.settings().maximumLeaseMillis(), context.nowMillis());
+        registration,
+        fencingTokens,
+        lateOrders,
+        context.settings().maximumLeaseMillis(),
+        context.nowMillis());
   }
 
   private static WorkerRegistration placeholderRegistration(RunRecord.Placement placement) {
@@ -106,8 +127,7 @@
   public void registered(WorkerRegistration registration) {
     WorkerSession session = sessions.get(registration.id());
     if (session == null) {
-      sessions.put(registration.id(), newSession(registration));
-      requestRound.run();
+      registeredFirst(registration);
       return;
     }
     boolean wasDraining = session.registration().draining();
@@ -119,8 +139,41 @@
       abortLongRuns(session);
     }
     if (registration.draining() != wasDraining) {
-      requestRound.run();
+      listener.resourcesChanged();
+    }
+  }
+
+  /**
+   * Adds a worker that this leader does not know, or that had left. One that orders for a former
+   * life may still reach is polled before anything else, so that it refuses them.
+   */
+  private void registeredFirst(WorkerRegistration registration) {
+    WorkerSession session = newSession(registration);
+    sessions.put(registration.id(), session);
+    if (!mayReceiveLateOrders(registration)) {
+      listener.resourcesChanged();
+      return;
+    }
+    session.expectLateOrders();
+    context
+        .events()
+        .event("worker-awaits-list")
+        .with("worker", session.id())
+        .with("incarnation", session.incarnation())
+        .with("fence", session.life().fence())
+        .write();
+    listener.workerRestarted(session);
+  }
+
+  /** Returns whether an order that was given up may reach a life that was not alive then. */
+  private boolean mayReceiveLateOrders(WorkerRegistration registration) {
+    long nowMillis = context.nowMillis();
+    if (lateOrders.mayReach(registration.id(), nowMillis)) {
+      return true;
     }
+    long ageMillis = context.wallClock().millis() - registration.incarnation();
+    return lateOrders.mayComeFromEarlierLeaders(nowMillis)
+        && ageMillis < LateOrders.MAXIMUM_DELAY_MILLIS + LIFE_AGE_MARGIN_MILLIS;
   }
 
   /**
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkerPoller.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerPoller.java
@@ -24,8 +24,11 @@
   /** How long a worker with members may wait for an end before it answers a poll. */
   private static final long MAXIMUM_POLL_WAIT_MILLIS = 2_000;
 
-  /** The same while leases end early, so that the next poll renews them before they have ended. */
-  private static final long SHORT_LEASE_POLL_WAIT_MILLIS = 500;
+  /**
+   * The same while leases end early, so that the next poll renews them before they have ended, and
+   * while a start is in doubt, of which the next poll tells.
+   */
+  private static final long SHORT_POLL_WAIT_MILLIS = 500;
 
   /** The delay before the next poll while the leader is still storing ends that it has seen. */
   private static final long UNRECORDED_END_POLL_DELAY_MILLIS = 100;
@@ -77,7 +80,11 @@
     if (closed || pending || !session.needsPoll()) {
       return;
     }
-    if (session.members().isEmpty() && !session.life().hasUnlistedEnds()) {
+    boolean isUrgent =
+        !session.members().isEmpty()
+            || session.life().hasUnlistedEnds()
+            || session.awaitsFirstList();
+    if (!isUrgent) {
       schedulePoll(session, MEMBERLESS_POLL_DELAY_MILLIS);
       return;
     }
@@ -96,9 +103,11 @@
   /**
    * Resolves the members of a silent worker as lost once all its leases have expired, stops runs
    * without progress, and polls the worker if needed.
+   *
+   * @param knowsLives whether the leader would know of a worker that has started again
    */
-  void tick(WorkerSession session) {
-    List<Member> ended = certainlyEnded(session);
+  void tick(WorkerSession session, boolean knowsLives) {
+    List<Member> ended = certainlyEnded(session, knowsLives);
     if (!ended.isEmpty()) {
       context
           .events()
@@ -107,6 +116,8 @@
           .with("members", ended.size())
           .with("undecided", session.members().size() - ended.size())
           .with("unansweredPolls", session.unansweredPolls())
+          .with("registered", session.isRegistered())
+          .with("knowsLives", knowsLives)
           .with("incarnation", session.incarnation())
           .with("term", term)
           .write();
@@ -121,14 +132,14 @@
   }
 
   /** Returns the members of a silent worker that have certainly ended. */
-  private List<Member> certainlyEnded(WorkerSession session) {
+  private List<Member> certainlyEnded(WorkerSession session, boolean knowsLives) {
     if (session.unansweredPolls() == 0) {
       return List.of();
     }
     long now = context.nowMillis();
     long leaseMillis = context.settings().leaseMillis();
     return session.members().stream()
-        .filter(member -> session.hasCertainlyEnded(member, now, leaseMillis))
+        .filter(member -> session.hasCertainlyEnded(member, now, leaseMillis, knowsLives))
         .toList();
   }
 
@@ -200,18 +211,22 @@
 
   /**
    * Returns how long the worker may wait before it answers: not at all while it is unknown what it
-   * runs.
+   * runs, or whether it answers.
    */
   private long waitMillis(WorkerSession session) {
     boolean statesKnown =
         session.members().stream().noneMatch(each -> each.state() == State.UNCERTAIN);
     boolean waits =
-        statesKnown && !session.members().isEmpty() && !session.life().hasUnrecordedEnds();
+        statesKnown
+            && !session.isSilent()
+            && !session.members().isEmpty()
+            && !session.life().hasUnrecordedEnds();
     if (!waits) {
       return 0;
     }
-    return leadershipLease.shortensWorkerLeases()
-        ? SHORT_LEASE_POLL_WAIT_MILLIS
+    boolean hasStartInDoubt = session.members().stream().anyMatch(Member::isStartInDoubt);
+    return leadershipLease.shortensWorkerLeases() || hasStartInDoubt
+        ? SHORT_POLL_WAIT_MILLIS
         : MAXIMUM_POLL_WAIT_MILLIS;
   }
 
@@ -222,10 +237,10 @@
   private void pollAnswered(WorkerSession session, SentPoll sent, PollAnswer answer) {
     WorkerLife life = sent.life();
     life.setPolling(false);
-    if (closed || session.isClosed()) {
+    if (closed) {
       return;
     }
-    if (life != session.life()) {
+    if (life != session.life() || session.isClosed()) {
       pollLost(session, sent);
       return;
     }
@@ -301,7 +316,7 @@
 
   /** Makes a worker available for placement again if its last poll was not answered. */
   private void answeredAgain(WorkerSession session) {
-    if (session.unansweredPolls() == 0) {
+    if (!session.isSilent()) {
       return;
     }
     context
@@ -311,7 +326,7 @@
         .with("unansweredPolls", session.unansweredPolls())
         .with("term", term)
         .write();
-    session.resetUnansweredPolls();
+    session.markAnswering();
     listener.resourcesChanged();
   }
 
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkerSession.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerSession.java
@@ -15,22 +15,25 @@
  * <p>An order that was made for one life may be carried out by the next one, which takes the end of
  * its lease for a time on its own clock and shortens it to the longest lease only. What such an
  * order grants is counted from its latest arrival, see {@link #firstAnswered} and {@link
- * #orderLost}.
+ * LateOrders}.
  */
 final class WorkerSession {
   /** Added to the end of each lease before it counts as expired. */
   private static final long LEASE_MARGIN_MILLIS = 300;
 
-  /** How long after the leader has given an order up the order may still be carried out. */
-  static final long LATE_ORDER_MILLIS = 12_000;
+  /** How long a worker takes between two reports at most; then its registration is removed. */
+  private static final long MAXIMUM_REPORT_GAP_MILLIS = 6_000;
 
   private final FencingTokens fencingTokens;
+  private final LateOrders lateOrders;
   private final long longestLeaseMillis;
   private final Map<String, Member> members = new LinkedHashMap<>();
   private WorkerRegistration registration;
   private WorkerLife life;
-  private boolean restarted;
+  private boolean mustListFirst;
+  private boolean startUnanswered;
   private boolean registered = true;
+  private long lastReportMillis;
   private boolean closed;
 
   /**
@@ -39,9 +42,6 @@
    */
   private long latestLeaseEndMillis;
 
-  /** When the lease of an order has certainly expired that was not answered, in any life. */
-  private long lostOrderEndMillis;
-
   private @Nullable ScheduledFuture<?> scheduledPoll;
   private int unansweredPolls;
 
@@ -53,10 +53,13 @@
   WorkerSession(
       WorkerRegistration registration,
       FencingTokens fencingTokens,
+      LateOrders lateOrders,
       long maximumLeaseMillis,
       long nowMillis) {
     this.registration = registration;
     this.fencingTokens = fencingTokens;
+    this.lateOrders = lateOrders;
+    this.lastReportMillis = nowMillis;
     this.longestLeaseMillis = (long) (maximumLeaseMillis / WorkerLife.MINIMUM_CLOCK_RATE);
     this.life =
         WorkerLife.known(
@@ -95,6 +98,7 @@
   /** Updates the registration. Returns whether it tells of a new life. */
   boolean update(WorkerRegistration next, long nowMillis) {
     registered = true;
+    lastReportMillis = nowMillis;
     registration = next;
     if (next.incarnation() > life.incarnation()) {
       if (life.isIncarnationKnown()) {
@@ -123,13 +127,18 @@
 
   private void begin(WorkerLife next) {
     life = next;
-    restarted = true;
+    mustListFirst = true;
     cancelScheduledPoll();
   }
 
-  /** Returns whether the worker has started again and has not listed its runs since. */
+  /** Records that orders for former lives may still be carried out by the present one. */
+  void expectLateOrders() {
+    mustListFirst = true;
+  }
+
+  /** Returns whether the present life has to list its runs before it gets work. */
   boolean awaitsFirstList() {
-    return restarted && !life.hasListed();
+    return mustListFirst && !life.hasListed();
   }
 
   /**
@@ -137,7 +146,23 @@
    * its new life has answered, because orders for the former one may still take effect there.
    */
   boolean isAvailable() {
-    return registered && unansweredPolls == 0 && !awaitsFirstList();
+    return registered && !isSilent() && !awaitsFirstList();
+  }
+
+  /** Returns whether the worker left a poll, or its last start order, unanswered. */
+  boolean isSilent() {
+    return unansweredPolls > 0 || startUnanswered;
+  }
+
+  /** Records whether the worker left its last start order unanswered. */
+  void setStartUnanswered(boolean unanswered) {
+    startUnanswered = unanswered;
+  }
+
+  /** Records that the worker has answered a poll. */
+  void markAnswering() {
+    unansweredPolls = 0;
+    startUnanswered = false;
   }
 
   /** Returns the time that the worker's clock shows at least. */
@@ -189,8 +214,7 @@
    * another life than it was made for.
    */
   void orderLost(long nowMillis) {
-    long endMillis = nowMillis + LATE_ORDER_MILLIS + longestLeaseMillis + LEASE_MARGIN_MILLIS;
-    lostOrderEndMillis = Math.max(lostOrderEndMillis, endMillis);
+    lateOrders.lost(id(), nowMillis);
   }
 
   /**
@@ -205,12 +229,35 @@
   }
 
   /**
-   * Returns whether a member has certainly ended on a silent worker. One whose start order was lost
-   * may run in a life that the leader does not know, by a lease that was not made for it.
+   * Returns whether a member has certainly ended on a silent worker.
+   *
+   * <p>In the life that a start order was made for, it has no effect after its lease, however late
+   * it is carried out. A later life counts its lease anew, but refuses it once it has answered. So
+   * a member whose start was lost can outlast the leases only in a life that has not answered.
+   *
+   * @param knowsLives whether the leader would know of a later life
+   */
+  boolean hasCertainlyEnded(Member member, long nowMillis, long leaseMillis, boolean knowsLives) {
+    if (!haveLeasesExpired(nowMillis, leaseMillis)) {
+      return false;
+    }
+    boolean isBoundByLeases = member.isPlannedForPresentLife() || life.hasAnswered();
+    return !member.hasLostStart()
+        || (knowsLives && isRegistrationConclusive(nowMillis) && isBoundByLeases)
+        || nowMillis > lastLateLeaseEndMillis();
+  }
+
+  /**
+   * Returns whether the registration would tell of a later life: the worker has left the list, or
+   * reports regularly. A report that is neither renewed nor removed tells nothing.
    */
-  boolean hasCertainlyEnded(Member member, long nowMillis, long leaseMillis) {
-    return haveLeasesExpired(nowMillis, leaseMillis)
-        && (!member.hasLostStart() || nowMillis > lostOrderEndMillis);
+  private boolean isRegistrationConclusive(long nowMillis) {
+    return !registered || nowMillis - lastReportMillis <= MAXIMUM_REPORT_GAP_MILLIS;
+  }
+
+  /** Returns when the lease of every lost order has certainly expired, in any life. */
+  private long lastLateLeaseEndMillis() {
+    return lateOrders.lastArrivalMillis(id()) + longestLeaseMillis + LEASE_MARGIN_MILLIS;
   }
 
   Collection<Member> members() {
@@ -231,7 +278,7 @@
 
   /** Returns whether the worker has left, and nothing is to be learned or told there any more. */
   boolean isObsolete() {
-    boolean hasNews = life.hasUnacknowledgedEnds() && unansweredPolls == 0;
+    boolean hasNews = life.hasUnacknowledgedEnds() && !isSilent();
     return !registered && members.isEmpty() && !hasNews;
   }
 
@@ -249,14 +296,14 @@
   }
 
   /**
-   * Returns whether the worker has to be polled. A registered worker that left its last poll
-   * unanswered, or that has started again, gets no work, so it is polled until it answers.
+   * Returns whether the worker has to be polled. A registered worker that is silent, or that has to
+   * list its runs first, gets no work, so it is polled until it answers.
    */
   boolean needsPoll() {
     return !closed
         && (!members.isEmpty()
             || life.hasUnacknowledgedEnds()
-            || (registered && (unansweredPolls > 0 || awaitsFirstList())));
+            || (registered && (isSilent() || awaitsFirstList())));
   }
 
   boolean isPollScheduled() {
@@ -282,8 +329,4 @@
   void countUnansweredPoll() {
     unansweredPolls++;
   }
-
-  void resetUnansweredPolls() {
-    unansweredPolls = 0;
-  }
 }
--- a/src/test/java/io/dragonflyturn/internal/dispatch/DispatchFixture.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/DispatchFixture.java
@@ -52,6 +52,10 @@
   final RulesStatus rulesStatus = new RulesStatus();
   final Map<String, CustomerTerms> terms = new HashMap<>();
   private long maximumLeaseMillis = 6_000;
+
+  /** How old the registrations are that the instances have read. */
+  Duration registrationsAge = Duration.ZERO;
+
   private final CustomerDirectory customers =
       new CustomerDirectory() {
         @Override
@@ -338,6 +342,11 @@
     public boolean isSynced() {
       return started;
     }
+
+    @Override
+    public Duration age() {
+      return registrationsAge;
+    }
   }
 
   /** A connection to the store that can be disconnected. */
--- a/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/FakeWorkers.java
@@ -180,7 +180,8 @@
 
   private FakeWorker beginLife(String id) {
     worker(id).expire();
-    FakeWorker next = new FakeWorker(id, worker(id).incarnation() + 1, this, gangs, loop);
+    long incarnation = Math.max(worker(id).incarnation() + 1, loop.millis());
+    FakeWorker next = new FakeWorker(id, incarnation, this, gangs, loop);
     workers.put(id, next);
     return next;
   }
--- a/src/test/java/io/dragonflyturn/internal/dispatch/RestartedWorkerTest.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/RestartedWorkerTest.java
@@ -16,6 +16,10 @@
   private static final long UPTIME_MILLIS = 60_000;
   private static final long LONG_WORK_MILLIS = 40_000;
   private static final long LONGEST_WAIT_MILLIS = 30_000;
+  private static final long LATE_MILLIS = 11_900;
+  private static final long START_INTERVAL_MILLIS = 800;
+  private static final int START_ATTEMPTS = 3;
+  private static final long PLACED_AGAIN_MILLIS = 6_000;
 
   private final DispatchFixture fixture = new DispatchFixture();
 
@@ -178,6 +182,66 @@
     assertThat(fixture.workers.violations()).isEmpty();
   }
 
+  /** A worker that had left the list was not polled when it was back, and took late starts. */
+  @Test
+  void should_not_run_a_task_twice_when_its_worker_leaves_and_is_back_before_a_late_start() {
+    loseStartsOfTaskOnFirstWorker();
+    leaveList("w1");
+
+    returnToList("w1");
+    fixture.advance(LONGEST_WAIT_MILLIS);
+
+    assertThat(fixture.workers.starts("a.0.0.0")).isEqualTo(1);
+    assertThat(fixture.workers.violations()).isEmpty();
+  }
+
+  /** The next leader knew nothing of the orders that its predecessor had lost. */
+  @Test
+  void should_not_run_a_task_twice_when_its_worker_is_back_under_the_next_leader() {
+    fixture.instance("next");
+    loseStartsOfTaskOnFirstWorker();
+    fixture.leader().disconnect();
+    leaveList("w1");
+
+    returnToList("w1");
+    fixture.advance(LONGEST_WAIT_MILLIS);
+
+    assertThat(fixture.workers.starts("a.0.0.0")).isEqualTo(1);
+    assertThat(fixture.workers.violations()).isEmpty();
+  }
+
+  /** Has all starts of a task carried out late, and the task placed on another worker. */
+  private void loseStartsOfTaskOnFirstWorker() {
+    addIdleWorker();
+    fixture.advance(100);
+    fixture.submit("a", 1, DispatchFixture.tasks(1));
+    for (int attempt = 0; attempt < START_ATTEMPTS; attempt++) {
+      fixture.orders.holdBack(DisturbedGateway.Kind.START, "w1", LATE_MILLIS);
+      fixture.advance(START_INTERVAL_MILLIS);
+    }
+    long deadlineMillis = fixture.loop.millis() + PLACED_AGAIN_MILLIS;
+    while (fixture.loop.millis() < deadlineMillis && !isOnSecondWorker()) {
+      fixture.advance(10);
+    }
+    assertThat(fixture.workers.workerOf("a.0.0.0")).isEqualTo("w2");
+  }
+
+  private boolean isOnSecondWorker() {
+    return fixture.workers.workerOf("a.0.0.0").equals("w2");
+  }
+
+  private void leaveList(String worker) {
+    fixture.workers.crash(worker, false);
+    fixture.advance(3_500);
+    fixture.unregister(worker);
+    fixture.advance(100);
+  }
+
+  private void returnToList(String worker) {
+    fixture.workers.restart(worker);
+    fixture.reportWorker(worker);
+  }
+
   private void addIdleWorker() {
     fixture.workers.add("w2");
     fixture.reportWorker("w2");
--- a/src/test/java/io/dragonflyturn/internal/dispatch/WorkerSessionTest.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/WorkerSessionTest.java
@@ -14,7 +14,12 @@
   private static final double SLOW_RATE = 0.98;
 
   private final WorkerSession session =
-      new WorkerSession(registration(0), new FencingTokens(1), MAXIMUM_LEASE_MILLIS, START_MILLIS);
+      new WorkerSession(
+          registration(0),
+          new FencingTokens(1),
+          LateOrders.ofFirstLeader(),
+          MAXIMUM_LEASE_MILLIS,
+          START_MILLIS);
 
   /** A task started on a worker that had been idle for a minute outlived its lease by a second. */
   @Test
