Bound the preferences of placement by time, and keep them apart from its rules

Cause: EligibleWorkers asked whether a unit would fit on the preferred workers if these were empty, and then looked at them alone, however busy they were and for however long; nothing was kept for it there. So a preference worked as a prohibition.

Change: PlacementFilter has two types, a rule, which may leave no worker, and a preference, which names how long a unit waits for what it prefers. Service and label are rules. A last attempt waits 2 s for proven workers, and what they are expected to free meanwhile is kept for it; then it takes any worker that is not suspect and on which it has not failed. Workers on which the unit failed, and for a last attempt suspect ones, come after the others until 6 s have passed. Unhealthy workers are last until WorkerHealth's own time is over. Reserved workers are left to urgent jobs while half of the others' room is in use. Looked at and left: racks (4 s at most), faster workers (2 s, reserved), limits, rates, and the limit per worker (rules).

--- a/src/main/java/io/dragonflyturn/internal/policy/Candidate.java
+++ b/src/main/java/io/dragonflyturn/internal/policy/Candidate.java
@@ -17,6 +17,7 @@
   private final Set<String> stoppingUnits = new HashSet<>();
   private final Map<String, Integer> placedTasksByStep = new HashMap<>();
   private final Resources capacityBesideUrgentRuns;
+  private final Resources freeAtStart;
   private final List<WorkerBlock> blocks = new ArrayList<>();
   private final WorkerSpeed.Grade grade;
   private Resources free;
@@ -32,6 +33,7 @@
         stoppingUnits.add(allocation.unitKey());
       }
     }
+    this.freeAtStart = free;
   }
 
   String id() {
@@ -50,6 +52,11 @@
     return free;
   }
 
+  /** Returns the resources that were free at the start of the round. */
+  Resources freeAtStart() {
+    return freeAtStart;
+  }
+
   /** Returns the resources that less urgent jobs could use if all of their runs were over. */
   Resources capacityBesideUrgentRuns() {
     return capacityBesideUrgentRuns;
--- a/src/main/java/io/dragonflyturn/internal/policy/EligibleWorkers.java
+++ b/src/main/java/io/dragonflyturn/internal/policy/EligibleWorkers.java
@@ -11,15 +11,42 @@
  * of which all workers were looked at again: which workers match the tasks is found out once a
  * round.
  *
- * <p>Unhealthy workers and workers on which a unit failed are eligible only if it could never run
- * without them. The last attempt of a unit is made on proven workers only, and workers that are
- * reserved for urgent jobs are left to these, if the unit could run on the others at all.
+ * <p>The service and the label are rules. All else is a preference: unhealthy workers, workers on
+ * which the unit failed, and for its last attempt workers that are not proven are used after the
+ * others, once the unit has waited for these for long enough, or if it could never run there.
+ * Workers that are reserved for urgent jobs are left to these while the others are in use.
  */
 final class EligibleWorkers {
-  private final Collection<Candidate> candidates;
+  /** How long a last attempt waits for proven workers. */
+  static final long PROVEN_WAIT_MILLIS = 2_000;
+
+  /**
+   * Holds for as long as a worker counts as unhealthy, which ends by itself some seconds after its
+   * last failure.
+   */
+  private static final PlacementFilter HEALTHY = new PlacementFilter.Preference(Long.MAX_VALUE);
+
+  /** As long as a failure counts as evidence against a worker. */
+  private static final PlacementFilter NOT_FAILED = new PlacementFilter.Preference(6_000);
+
+  /** The same, for the last failure of any unit. */
+  private static final PlacementFilter NOT_SUSPECT = new PlacementFilter.Preference(6_000);
+
+  /** Less than a job may be without a run that has room elsewhere. */
+  private static final PlacementFilter PROVEN = new PlacementFilter.Preference(PROVEN_WAIT_MILLIS);
+
+  private static final PlacementFilter SERVICE_AND_LABEL = new PlacementFilter.Rule();
+
+  /** How long a unit leaves reserved workers alone while the others are hardly used. */
+  private static final long RESERVED_WAIT_MILLIS = 2_000;
+
+  /** The share of the other workers' room that is in use while reserved workers are left alone. */
+  private static final double USED_SHARE = 0.5;
+
+  private final WorkerGroup all;
   private final Set<String> reservedForUrgent;
   private final Map<Scope, WorkerGroup> matchingByScope = new HashMap<>();
-  private final Map<Scope, WorkerGroup> preferredByScope = new HashMap<>();
+  private final Map<Scope, WorkerGroup> notFailedByScope = new HashMap<>();
 
   /**
    * Creates a search that has found nothing yet.
@@ -29,69 +56,59 @@
    *     run elsewhere
    */
   EligibleWorkers(Collection<Candidate> candidates, Set<String> reservedForUrgent) {
-    this.candidates = candidates;
+    this.all = new WorkerGroup(List.copyOf(candidates));
     this.reservedForUrgent = reservedForUrgent;
   }
 
-  /** Returns the workers that may run a unit. */
+  /** Returns the workers on which a unit is placed now. */
   WorkerGroup of(PlacementRequest request) {
-    WorkerGroup preferred = preferred(request);
-    WorkerGroup healthiest = suffices(request, preferred) ? preferred : matching(request);
-    return excludeReserved(request, onlyProvenForLastAttempt(request, healthiest));
+    WorkerGroup matching = SERVICE_AND_LABEL.apply(request, all, matching(request));
+    WorkerGroup healthy = HEALTHY.apply(request, matching, matching.healthy());
+    WorkerGroup notFailed = NOT_FAILED.apply(request, healthy, notFailed(request, healthy));
+    WorkerGroup safest = request.lastAttempt() ? forLastAttempt(request, notFailed) : notFailed;
+    return excludeReserved(request, safest);
+  }
+
+  private static WorkerGroup forLastAttempt(PlacementRequest request, WorkerGroup workers) {
+    WorkerGroup unsuspected = NOT_SUSPECT.apply(request, workers, workers.unsuspected());
+    return PROVEN.apply(request, unsuspected, unsuspected.proven());
   }
 
   private WorkerGroup matching(PlacementRequest request) {
     Scope scope = new Scope(request.service(), request.step().requiredLabel(), Set.of());
     return matchingByScope.computeIfAbsent(
-        scope,
-        key -> new WorkerGroup(candidates.stream().filter(each -> each.matches(request)).toList()));
+        scope, key -> all.only(candidate -> candidate.matches(request)));
   }
 
-  private WorkerGroup preferred(PlacementRequest request) {
+  private WorkerGroup notFailed(PlacementRequest request, WorkerGroup healthy) {
+    if (request.failedWorkers().isEmpty()) {
+      return healthy;
+    }
     Scope scope =
         new Scope(request.service(), request.step().requiredLabel(), request.failedWorkers());
-    WorkerGroup matching = matching(request);
-    return preferredByScope.computeIfAbsent(
-        scope, key -> matching.only(each -> each.isPreferredFor(request)));
-  }
-
-  /** Returns whether a unit would fit on the workers if nothing ran on them. */
-  private static boolean suffices(PlacementRequest request, WorkerGroup group) {
-    int copies = 0;
-    for (Candidate candidate : group.workers()) {
-      copies += candidate.copiesWhenEmpty(request);
-      if (copies >= request.tasks()) {
-        return true;
-      }
-    }
-    return false;
-  }
-
-  /** Keeps only proven workers for a last attempt, unless the unit could never run on them. */
-  private static WorkerGroup onlyProvenForLastAttempt(
-      PlacementRequest request, WorkerGroup eligible) {
-    if (!request.lastAttempt()) {
-      return eligible;
-    }
-    WorkerGroup proven = eligible.proven();
-    return PlaceSearch.fitsWhenEmpty(request, proven.workers()) ? proven : eligible;
+    return notFailedByScope.computeIfAbsent(
+        scope, key -> healthy.only(each -> !request.failedWorkers().contains(each.id())));
   }
 
   /**
    * Removes workers that are reserved for urgent jobs, unless the unit could not run without them
-   * for as long as the urgent jobs that are running now.
+   * for as long as the urgent jobs that are running now, or has waited while the other workers were
+   * hardly used: then it is their pieces of room that are too small.
    */
   private WorkerGroup excludeReserved(PlacementRequest request, WorkerGroup eligible) {
     boolean urgent = request.rank() <= UrgencyRanks.URGENT && !request.exceedsRate();
     if (urgent || reservedForUrgent.isEmpty()) {
       return eligible;
     }
-    List<Candidate> others = eligible.without(reservedForUrgent).workers();
-    return PlaceSearch.fits(request, others, Candidate::capacityBesideUrgentRuns)
-        ? eligible.without(reservedForUrgent)
+    WorkerGroup others = eligible.without(reservedForUrgent);
+    boolean hasWaited = request.waitedMillis() >= RESERVED_WAIT_MILLIS;
+    boolean areOthersUsed = !hasWaited || others.usedShare() >= USED_SHARE;
+    return areOthersUsed
+            && PlaceSearch.fits(request, others.workers(), Candidate::capacityBesideUrgentRuns)
+        ? others
         : eligible;
   }
 
-  /** What determines which workers match a unit, and which of them it prefers. */
+  /** What determines which workers match a unit, and on which of them it has not failed. */
   private record Scope(String service, String label, Set<String> failedWorkers) {}
 }
--- a/src/main/java/io/dragonflyturn/internal/policy/PlacementPlan.java
+++ b/src/main/java/io/dragonflyturn/internal/policy/PlacementPlan.java
@@ -67,6 +67,8 @@
     /** Runs of less urgent jobs are being stopped to free resources for the unit. */
     PREEMPTING,
     /** Free workers are slow, and others will be free so soon that the unit ends earlier there. */
-    FASTER_WORKERS
+    FASTER_WORKERS,
+    /** The last attempt waits a little for workers on which runs have progressed lately. */
+    PROVEN_WORKERS
   }
 }
--- a/src/main/java/io/dragonflyturn/internal/policy/PlacementPlanner.java
+++ b/src/main/java/io/dragonflyturn/internal/policy/PlacementPlanner.java
@@ -18,7 +18,7 @@
  * unit may preempt runs of less urgent jobs, as {@link PreemptionPlanner} decides.
  *
  * <p>Where some workers fail all that they start, suspect workers are used last, and the last
- * attempt of a unit is made on proven workers only, if they could run it at all.
+ * attempt of a unit waits a little for proven workers, whose room is kept for it.
  */
 public final class PlacementPlanner {
   private final Map<String, Candidate> candidatesById = new LinkedHashMap<>();
@@ -164,10 +164,25 @@
       return true;
     }
     WaitCause cause = waitForResources(request, eligible.workers());
+    boolean waitsForProven = request.lastAttempt() && eligible.proven() == eligible;
+    if (cause == WaitCause.INSUFFICIENT_RESOURCES && waitsForProven) {
+      keepProvenRoom(request, eligible);
+      cause = WaitCause.PROVEN_WORKERS;
+    }
     waiting.put(request.unitKey(), cause);
     return cause == WaitCause.PREEMPTING;
   }
 
+  /** Reserves what proven workers are expected to free while a last attempt waits for them. */
+  private static void keepProvenRoom(PlacementRequest request, WorkerGroup proven) {
+    long withinMillis = EligibleWorkers.PROVEN_WAIT_MILLIS - request.waitedMillis();
+    List<Candidate> chosen =
+        PlaceSearch.choose(request, proven.workers(), each -> each.freeAfterEnds(withinMillis));
+    if (chosen != null) {
+      chosen.forEach(candidate -> candidate.reserve(request.step().demand()));
+    }
+  }
+
   /**
    * Returns whether a unit waits for faster workers than those chosen, and reserves what will be
    * free there.
@@ -209,9 +224,16 @@
   }
 
   /**
-   * Returns free workers for all tasks, without suspect ones if possible; null if there are none.
+   * Returns free workers for all tasks, for a last attempt proven ones and otherwise without
+   * suspect ones if possible; null if there are none.
    */
   private @Nullable List<Candidate> chooseFree(PlacementRequest request, WorkerGroup eligible) {
+    if (request.lastAttempt()) {
+      List<Candidate> chosen = freeWorkers.choose(request, eligible.proven());
+      if (chosen != null) {
+        return chosen;
+      }
+    }
     if (hasSuspects) {
       List<Candidate> chosen = freeWorkers.choose(request, eligible.unsuspected());
       if (chosen != null) {
--- a/src/main/java/io/dragonflyturn/internal/policy/WorkerGroup.java
+++ b/src/main/java/io/dragonflyturn/internal/policy/WorkerGroup.java
@@ -1,5 +1,6 @@
 package io.dragonflyturn.internal.policy;
 
+import io.dragonflyturn.internal.workload.Resources;
 import java.util.List;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -11,11 +12,13 @@
  */
 final class WorkerGroup {
   private final List<Candidate> workers;
+  private @Nullable WorkerGroup healthy;
   private @Nullable WorkerGroup proven;
   private @Nullable WorkerGroup unsuspected;
   private @Nullable WorkerGroup unreserved;
   private @Nullable WorkerBlock block;
   private @Nullable Boolean alike;
+  private @Nullable Double usedShare;
 
   WorkerGroup(List<Candidate> workers) {
     this.workers = workers;
@@ -25,6 +28,14 @@
     return workers;
   }
 
+  /** Returns the workers that are not excluded because of recent failures. */
+  WorkerGroup healthy() {
+    if (healthy == null) {
+      healthy = only(each -> each.worker().healthy());
+    }
+    return healthy;
+  }
+
   /** Returns the workers on which a run has progressed or completed recently. */
   WorkerGroup proven() {
     if (proven == null) {
@@ -70,6 +81,26 @@
     return alike;
   }
 
+  /**
+   * Returns the share of the accelerators that was in use at the start of the round; of the
+   * processors if there are no accelerators.
+   */
+  double usedShare() {
+    if (usedShare == null) {
+      Resources capacity = Resources.NONE;
+      Resources free = Resources.NONE;
+      for (Candidate candidate : workers) {
+        capacity = capacity.plus(candidate.worker().capacity());
+        free = free.plus(candidate.freeAtStart());
+      }
+      usedShare =
+          capacity.accelerators() > 0
+              ? 1 - (double) free.accelerators() / capacity.accelerators()
+              : 1 - (double) free.processorMillis() / Math.max(1, capacity.processorMillis());
+    }
+    return usedShare;
+  }
+
   /** Returns the block of all workers. */
   WorkerBlock block() {
     if (block == null) {
--- a/src/test/java/io/dragonflyturn/internal/policy/PlacementPlannerTest.java
+++ b/src/test/java/io/dragonflyturn/internal/policy/PlacementPlannerTest.java
@@ -150,6 +150,96 @@
     assertThat(plan.placed()).containsExactly(new PlacedUnit("a.0.0", List.of("w3")));
   }
 
+  /** A job waited for the one proven worker, which small tasks kept busy, beside idle ones. */
+  @Test
+  void should_make_the_last_attempt_on_an_idle_worker_once_it_has_waited_for_proven_ones() {
+    WorkerSnapshot busy =
+        new WorkerBuilder("w1")
+            .condition(WorkerCondition.PROVEN)
+            .runs(WorkerBuilder.run("small.0.0.0", 1, SMALL, 1_000, 1_000))
+            .build();
+    List<WorkerSnapshot> fleet =
+        List.of(
+            busy,
+            worker("w2", WorkerCondition.SUSPECT),
+            worker("w3", WorkerCondition.UNKNOWN),
+            worker("w4", WorkerCondition.UNKNOWN));
+
+    PlacementPlan early = plan(fleet, List.of(lastAttemptAfter(1_999)));
+    PlacementPlan late = plan(fleet, List.of(lastAttemptAfter(2_000)));
+
+    assertThat(early.waiting()).containsEntry("a.0.0", WaitCause.PROVEN_WORKERS);
+    assertThat(late.placed()).containsExactly(new PlacedUnit("a.0.0", List.of("w3")));
+  }
+
+  /** Small tasks took the room on the proven worker again and again. */
+  @Test
+  void should_keep_the_room_that_proven_workers_free_for_a_last_attempt() {
+    WorkerSnapshot busy =
+        new WorkerBuilder("w1")
+            .condition(WorkerCondition.PROVEN)
+            .runs(WorkerBuilder.run("small.0.0.0", 1, SMALL, 1_000, 1_000))
+            .build();
+    StepSpecification small = new StepBuilder(SMALL).build();
+
+    PlacementPlan plan =
+        plan(
+            List.of(busy, worker("w2", WorkerCondition.UNKNOWN)),
+            List.of(lastAttemptAfter(0), task("next.0.0.0", small)));
+
+    assertThat(plan.placed()).containsExactly(new PlacedUnit("next.0.0.0", List.of("w2")));
+  }
+
+  /** A task that lasts was not started again beside the idle worker on which it had failed. */
+  @Test
+  void should_use_the_worker_that_failed_a_unit_once_it_has_waited_for_the_others() {
+    WorkerSnapshot busy =
+        new WorkerBuilder("w1")
+            .runs(
+                WorkerBuilder.run("lasts.0.0.0", UrgencyRanks.NOT_PREEMPTIBLE, WHOLE_WORKER, 1_000))
+            .build();
+    StepSpecification step = new StepBuilder(WHOLE_WORKER).build();
+    RequestBuilder request = RequestBuilder.task("j.0.0.0", step).failedOn("w2");
+    List<WorkerSnapshot> fleet = List.of(busy, worker("w2", WorkerCondition.UNKNOWN));
+
+    PlacementPlan early = plan(fleet, List.of(request.waitedMillis(5_999).build()));
+    PlacementPlan late = plan(fleet, List.of(request.waitedMillis(6_000).build()));
+
+    assertThat(early.placed()).isEmpty();
+    assertThat(late.placed()).containsExactly(new PlacedUnit("j.0.0.0", List.of("w2")));
+  }
+
+  /** Workers were left to urgent jobs though the others had room, but in pieces too small. */
+  @Test
+  void should_use_reserved_workers_while_the_others_are_hardly_used() {
+    List<WorkerSnapshot> hardlyUsed =
+        List.of(
+            new WorkerBuilder("w1").runs(WorkerBuilder.run("s.0.0.0", 1, SMALL, 1_000)).build(),
+            worker("w2", "r1"));
+    List<WorkerSnapshot> used =
+        List.of(
+            new WorkerBuilder("w1")
+                .runs(WorkerBuilder.run("s.0.0.0", 1, WHOLE_WORKER, 1_000))
+                .build(),
+            worker("w2", "r1"));
+    StepSpecification step = new StepBuilder(WHOLE_WORKER).build();
+    PlacementRequest request = RequestBuilder.task("j.0.0.0", step).waitedMillis(2_000).build();
+
+    assertThat(planBesideReserved(hardlyUsed, request).placed())
+        .containsExactly(new PlacedUnit("j.0.0.0", List.of("w2")));
+    assertThat(planBesideReserved(used, request).placed()).isEmpty();
+  }
+
+  private static PlacementPlan planBesideReserved(
+      List<WorkerSnapshot> fleet, PlacementRequest request) {
+    return PlacementPlanner.plan(fleet, Set.of("w2"), RequestQueue.inOrder(List.of(request)));
+  }
+
+  private static PlacementRequest lastAttemptAfter(long waitedMillis) {
+    StepSpecification step = new StepBuilder(WHOLE_WORKER).gang(1).build();
+    return RequestBuilder.gang("a.0.0", step).lastAttempt().waitedMillis(waitedMillis).build();
+  }
+
   @Test
   void should_make_the_last_attempt_elsewhere_if_proven_workers_could_never_run_it() {
     List<WorkerSnapshot> fleet =
