Place on the preferred workers after the wait as well, where the unit fits there

Cause: once its wait was over, a preference no longer decided between two places that were both free, so units that had waited for 2 s were placed on reserved workers beside idle others.

Change: after the time of a preference, its workers are still taken if the unit can be placed there now. A last attempt takes any worker if none is proven that could run it.

--- a/src/main/java/io/dragonflyturn/internal/policy/EligibleWorkers.java
+++ b/src/main/java/io/dragonflyturn/internal/policy/EligibleWorkers.java
@@ -69,7 +69,11 @@
     return excludeReserved(request, safest);
   }
 
+  /** Where no worker is proven that could run the unit, suspect ones are no worse than others. */
   private static WorkerGroup forLastAttempt(PlacementRequest request, WorkerGroup workers) {
+    if (!PlaceSearch.fitsWhenEmpty(request, workers.proven().workers())) {
+      return workers;
+    }
     WorkerGroup unsuspected = NOT_SUSPECT.apply(request, workers, workers.unsuspected());
     return PROVEN.apply(request, unsuspected, unsuspected.proven());
   }
@@ -101,12 +105,12 @@
       return eligible;
     }
     WorkerGroup others = eligible.without(reservedForUrgent);
-    boolean hasWaited = request.waitedMillis() >= RESERVED_WAIT_MILLIS;
-    boolean areOthersUsed = !hasWaited || others.usedShare() >= USED_SHARE;
-    return areOthersUsed
-            && PlaceSearch.fits(request, others.workers(), Candidate::capacityBesideUrgentRuns)
-        ? others
-        : eligible;
+    if (!PlaceSearch.fits(request, others.workers(), Candidate::capacityBesideUrgentRuns)) {
+      return eligible;
+    }
+    boolean isWaitOver =
+        request.waitedMillis() >= RESERVED_WAIT_MILLIS && others.usedShare() < USED_SHARE;
+    return isWaitOver && !PlaceSearch.fitsNow(request, others.workers()) ? eligible : others;
   }
 
   /** What determines which workers match a unit, and on which of them it has not failed. */
--- a/src/main/java/io/dragonflyturn/internal/policy/PlaceSearch.java
+++ b/src/main/java/io/dragonflyturn/internal/policy/PlaceSearch.java
@@ -104,6 +104,11 @@
     return fits(request, candidates, candidate -> candidate.worker().capacity());
   }
 
+  /** Returns whether a unit can be placed on the workers as they are. */
+  static boolean fitsNow(PlacementRequest request, List<Candidate> candidates) {
+    return choose(request, candidates, Candidate::free) != null;
+  }
+
   /** Returns whether all tasks of a unit would fit on the workers with the given resources. */
   static boolean fits(PlacementRequest request, List<Candidate> candidates, ResourceView view) {
     int copies = 0;
--- a/src/main/java/io/dragonflyturn/internal/policy/PlacementFilter.java
+++ b/src/main/java/io/dragonflyturn/internal/policy/PlacementFilter.java
@@ -20,7 +20,8 @@
 
   /**
    * A preference, which only delays a unit. It holds for a limited time, and not at all if the unit
-   * could never run on the preferred workers.
+   * could never run on the preferred workers. After that time it still decides where the unit is
+   * placed if that could be on either.
    *
    * @param longestWaitMillis how long a unit waits for the preferred workers
    */
@@ -29,7 +30,8 @@
     public WorkerGroup apply(PlacementRequest request, WorkerGroup workers, WorkerGroup matching) {
       boolean holds =
           request.waitedMillis() < longestWaitMillis
-              && PlaceSearch.fitsWhenEmpty(request, matching.workers());
+              ? PlaceSearch.fitsWhenEmpty(request, matching.workers())
+              : PlaceSearch.fitsNow(request, matching.workers());
       return holds ? matching : workers;
     }
   }
