Reclaim a guarantee where no worker can be had whole any more

Cause: what may be displaced was decided by rank alone. Runs within a guarantee have the best rank, and runs without an end one that nothing passes, so neither could give way, and nothing kept a customer's runs from being spread over all workers.

Change: for a unit within a guarantee all runs that are not within one may be stopped, those without an end last. If that makes no room, GuaranteeMoves has small runs within a guarantee moved to room that other work holds: only single tasks that need less than a task of the unit, and only where they fit elsewhere, so that moves come to an end and nobody loses what is guaranteed. The unit for which runs are moved is served first then, as with weights. Runs that hold their room are placed on workers that are split already.

Limits: members of gangs and runs that last within a guarantee are not moved; placing prefers split workers, but nothing is stopped early to keep all guarantees packable.

--- a/src/main/java/io/dragonflyturn/internal/dispatch/PlanningRound.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/PlanningRound.java
@@ -30,8 +30,11 @@
  * on them.
  */
 final class PlanningRound {
-  /** Multiplies the preemption cost of urgent runs, so that preempting other runs is preferred. */
-  private static final long URGENT_COST_FACTOR = 8;
+  /**
+   * Multiplies the preemption cost of urgent runs and of runs without an end, so that preempting
+   * other runs is preferred.
+   */
+  private static final long PROTECTED_COST_FACTOR = 8;
 
   /**
    * The number of units that a round places and displaces. It keeps the event loop free for the
@@ -128,7 +131,7 @@
   /** Returns the requests in the order of the list; by shares if any customer has a weight. */
   private RequestQueue queue(List<PlacementRequest> requests, List<WorkerSnapshot> workers) {
     if (!context.customers().hasWeights()) {
-      return RequestQueue.inOrder(requests);
+      return RequestQueue.inOrder(requests, preempting);
     }
     Resources capacity = Resources.NONE;
     for (WorkerSnapshot worker : workers) {
@@ -251,15 +254,18 @@
     int rank = ranks.rankOf(unit.job().submission());
     long cost =
         PreemptionCost.of(unit.step(), unit.tasks(), member.runTimeMillis(context.nowMillis()));
+    boolean isProtected = rank <= UrgencyRanks.URGENT || unit.step().endless();
     return new WorkerSnapshot.Allocation(
         unit.key(),
         unit.step().endless() ? UrgencyRanks.NOT_PREEMPTIBLE : rank,
         unit.step().demand(),
         member.run().isAborting(),
-        rank <= UrgencyRanks.URGENT ? cost * URGENT_COST_FACTOR : cost,
+        isProtected ? cost * PROTECTED_COST_FACTOR : cost,
         unit.job().submission().customer(),
         remainingMillis(member.run()),
-        unit.displacements());
+        unit.displacements(),
+        rank == UrgencyRanks.GUARANTEED,
+        unit.step().requiredLabel());
   }
 
   /** Returns when the last member of a run ends, as the members of a gang end together. */
--- a/src/main/java/io/dragonflyturn/internal/policy/BestWorkers.java
+++ b/src/main/java/io/dragonflyturn/internal/policy/BestWorkers.java
@@ -37,16 +37,22 @@
 
   private static Key key(PlacementRequest request, WorkerGroup group) {
     String limitedStep = request.step().maximumPerWorker() > 0 ? request.stepKey() : "";
-    return new Key(group, request.step().demand(), request.failedWorkers(), limitedStep);
+    return new Key(
+        group, request.step().demand(), request.failedWorkers(), limitedStep, request.holdsRoom());
   }
 
   /**
    * What the rank of a worker depends on for a single task, beside the state of the worker.
    *
    * @param limitedStep the step of the task if it has a limit per worker, otherwise empty
+   * @param holdsRoom whether the task prefers workers that are split already
    */
   private record Key(
-      WorkerGroup group, Resources demand, Set<String> failedWorkers, String limitedStep) {}
+      WorkerGroup group,
+      Resources demand,
+      Set<String> failedWorkers,
+      String limitedStep,
+      boolean holdsRoom) {}
 
   /** The best worker of a block, for tasks with the same key. */
   private static final class Winner {
--- a/src/main/java/io/dragonflyturn/internal/policy/Candidate.java
+++ b/src/main/java/io/dragonflyturn/internal/policy/Candidate.java
@@ -20,6 +20,7 @@
   private final Resources freeAtStart;
   private final List<WorkerBlock> blocks = new ArrayList<>();
   private final WorkerSpeed.Grade grade;
+  private boolean split;
   private Resources free;
 
   Candidate(WorkerSnapshot worker) {
@@ -31,6 +32,8 @@
       reserve(allocation.demand());
       if (allocation.stopping()) {
         stoppingUnits.add(allocation.unitKey());
+      } else {
+        split |= allocation.holdsRoom();
       }
     }
     this.freeAtStart = free;
@@ -52,6 +55,11 @@
     return free;
   }
 
+  /** Returns whether a part of the worker is held, so that it can't be had as a whole. */
+  boolean isSplit() {
+    return split;
+  }
+
   /** Returns the resources that were free at the start of the round. */
   Resources freeAtStart() {
     return freeAtStart;
@@ -75,6 +83,7 @@
   /** Reserves the resources of one task, and counts it towards the step's limit on this worker. */
   void place(PlacementRequest request) {
     reserve(request.step().demand());
+    split |= request.holdsRoom();
     placedTasksByStep.merge(request.stepKey(), 1, Integer::sum);
   }
 
@@ -163,16 +172,17 @@
   private static boolean endsWithin(Allocation allocation, long withinMillis) {
     return allocation.remainingMillis() <= withinMillis
         && withinMillis > 0
-        && allocation.rank() != UrgencyRanks.NOT_PREEMPTIBLE;
+        && !allocation.isLasting();
   }
 
-  private boolean isStopping(Allocation allocation) {
+  boolean isStopping(Allocation allocation) {
     return stoppingUnits.contains(allocation.unitKey());
   }
 
   /**
-   * Returns the allocations that may be preempted for a request, cheapest first. Runs that are
-   * about to end are left alone, as their room is free soon at no cost.
+   * Returns the allocations that may be preempted for a request, cheapest first, and runs without
+   * an end after all others. Runs that are about to end are left alone, as their room is free soon
+   * at no cost.
    */
   List<Allocation> preemptibleFor(PlacementRequest request) {
     List<Allocation> allocations = new ArrayList<>();
@@ -183,7 +193,9 @@
         allocations.add(allocation);
       }
     }
-    allocations.sort(Comparator.comparingLong(Allocation::displacementCost));
+    allocations.sort(
+        Comparator.comparing(Allocation::isLasting)
+            .thenComparingLong(Allocation::displacementCost));
     return allocations;
   }
 
--- a/src/main/java/io/dragonflyturn/internal/policy/PlaceSearch.java
+++ b/src/main/java/io/dragonflyturn/internal/policy/PlaceSearch.java
@@ -150,8 +150,9 @@
 
   /**
    * Returns a worker for each task, or null if not all tasks fit. Uses unhealthy workers and those
-   * on which the unit failed last; prefers workers with the lowest preemption cost, then those that
-   * fit the most tasks, so that few workers are used.
+   * on which the unit failed last; prefers workers with the lowest preemption cost, for room that
+   * is held those that are split already, then those that fit the most tasks, so that few workers
+   * are used.
    */
   private static @Nullable List<Candidate> fill(
       PlacementRequest request, List<Candidate> candidates, ResourceView view) {
@@ -171,6 +172,7 @@
     Comparator<Offer> order =
         Comparator.comparing((Offer offer) -> !offer.candidate.isPreferredFor(request))
             .thenComparingLong(offer -> offer.preemptionCost)
+            .thenComparing(offer -> request.holdsRoom() && !offer.candidate.isSplit())
             .thenComparingInt(offer -> -Math.min(offer.copies, request.tasks()))
             .thenComparingInt(offer -> offer.free.accelerators())
             .thenComparingLong(offer -> offer.free.processorMillis())
--- a/src/main/java/io/dragonflyturn/internal/policy/PlacementRequest.java
+++ b/src/main/java/io/dragonflyturn/internal/policy/PlacementRequest.java
@@ -47,10 +47,23 @@
   /** How often a unit may be displaced by jobs that are not within a guarantee. */
   private static final int MAXIMUM_DISPLACEMENTS = 3;
 
-  /** Returns whether the unit may displace a run, if that is worth it. */
+  /**
+   * Returns whether the unit may displace a run, if that is worth it. What a customer is guaranteed
+   * is had from all work that is not within a guarantee itself, also from runs without an end.
+   */
   boolean mayDisplace(WorkerSnapshot.Allocation run) {
-    return run.rank() > rank
-        && (isWithinGuarantee() || run.displacements() < MAXIMUM_DISPLACEMENTS);
+    if (isWithinGuarantee()) {
+      return !run.guaranteed();
+    }
+    return run.rank() > rank && run.displacements() < MAXIMUM_DISPLACEMENTS;
+  }
+
+  /**
+   * Returns whether the unit's runs take room that can't be had for other work later, so that it
+   * should be taken where least of it is left whole.
+   */
+  boolean holdsRoom() {
+    return isWithinGuarantee() || step.endless();
   }
 
   /** Returns whether the job exceeds its customer's rate, so that it uses only idle room. */
--- a/src/main/java/io/dragonflyturn/internal/policy/PreemptionPlanner.java
+++ b/src/main/java/io/dragonflyturn/internal/policy/PreemptionPlanner.java
@@ -82,11 +82,11 @@
       return WaitCause.EXPECTED_ENDS;
     }
     if (isUrgent && !fitsWithPreemption(request, eligible)) {
-      return null;
+      return moveForGuarantee(request, eligible);
     }
     VictimPlan plan = chooseVictims(request, eligible);
     if (plan == null) {
-      return null;
+      return moveForGuarantee(request, eligible);
     }
     boolean isWorthIt = PreemptionWorth.justifies(request, plan.cost());
     if (!request.mayPreempt() || !isWorthIt) {
@@ -98,6 +98,24 @@
     return WaitCause.PREEMPTING;
   }
 
+  /**
+   * Has runs within a guarantee moved for a unit within another one, if nothing else makes room.
+   *
+   * @return why the unit waits; null if it does not fit even so
+   */
+  private @Nullable WaitCause moveForGuarantee(PlacementRequest request, List<Candidate> eligible) {
+    if (!request.isWithinGuarantee()) {
+      return null;
+    }
+    VictimPlan plan = new GuaranteeMoves(request, candidates, candidatesByUnit()).choose(eligible);
+    if (plan == null) {
+      return null;
+    }
+    reserve(request, plan.places());
+    preemptFor(request, plan);
+    return WaitCause.PREEMPTING;
+  }
+
   /** Returns places and victims; on workers that are not slow if the unit would be late there. */
   private @Nullable VictimPlan chooseVictims(PlacementRequest request, List<Candidate> eligible) {
     VictimSearch search = new VictimSearch(request, candidatesByUnit());
--- a/src/main/java/io/dragonflyturn/internal/policy/UrgencyRanks.java
+++ b/src/main/java/io/dragonflyturn/internal/policy/UrgencyRanks.java
@@ -23,7 +23,7 @@
   /** The rank of urgent jobs of customers within their guarantee. */
   public static final int GUARANTEED = -1;
 
-  /** The rank of runs that are never preempted. */
+  /** The rank of runs that are preempted only for what a customer is guaranteed. */
   public static final int NOT_PREEMPTIBLE = Integer.MIN_VALUE;
 
   private final Map<String, Long> requestedAccelerators = new HashMap<>();
--- a/src/main/java/io/dragonflyturn/internal/policy/WorkerSnapshot.java
+++ b/src/main/java/io/dragonflyturn/internal/policy/WorkerSnapshot.java
@@ -65,6 +65,8 @@
    * @param customer the customer whose job the run belongs to
    * @param remainingMillis the estimated time until the run ends by itself
    * @param displacements how often the unit was preempted before
+   * @param guaranteed whether the customer is guaranteed the room of the run
+   * @param requiredLabel the label that another worker must have to run the unit; empty for none
    */
   public record Allocation(
       String unitKey,
@@ -74,7 +76,32 @@
       long preemptionCost,
       String customer,
       long remainingMillis,
-      int displacements) {
+      int displacements,
+      boolean guaranteed,
+      String requiredLabel) {
+    /** Creates the allocation of a run that any worker of the service can run. */
+    public Allocation(
+        String unitKey,
+        int rank,
+        Resources demand,
+        boolean stopping,
+        long preemptionCost,
+        String customer,
+        long remainingMillis,
+        int displacements) {
+      this(
+          unitKey,
+          rank,
+          demand,
+          stopping,
+          preemptionCost,
+          customer,
+          remainingMillis,
+          displacements,
+          rank == UrgencyRanks.GUARANTEED,
+          "");
+    }
+
     /**
      * Returns the work that the whole unit loses, counted once more for each time that it was
      * displaced before, so that no task is displaced again and again.
@@ -83,6 +110,18 @@
       return preemptionCost * (1 + displacements);
     }
 
+    /** Returns whether the run has no end, and is preempted only for what others are guaranteed. */
+    boolean isLasting() {
+      return rank == UrgencyRanks.NOT_PREEMPTIBLE;
+    }
+
+    /**
+     * Returns whether the room of the run can't be had for other work, at least not by priority.
+     */
+    boolean holdsRoom() {
+      return guaranteed || isLasting();
+    }
+
     /** Returns whether the run belongs to an urgent job, and can be preempted. */
     boolean isUrgent() {
       return rank <= UrgencyRanks.URGENT && rank != UrgencyRanks.NOT_PREEMPTIBLE;
--- a/src/test/java/io/dragonflyturn/internal/policy/PlacementPlannerTest.java
+++ b/src/test/java/io/dragonflyturn/internal/policy/PlacementPlannerTest.java
@@ -240,6 +240,26 @@
     return RequestBuilder.gang("a.0.0", step).lastAttempt().waitedMillis(waitedMillis).build();
   }
 
+  /** Work within a guarantee, and work without an end, split each worker of the fleet. */
+  @Test
+  void should_place_what_holds_its_room_on_workers_that_are_split_already() {
+    List<WorkerSnapshot> fleet =
+        List.of(
+            worker("w1", "r1"),
+            new WorkerBuilder("w2")
+                .runs(WorkerBuilder.run("a.0.0.0", UrgencyRanks.GUARANTEED, SMALL, 1))
+                .build());
+    StepSpecification step = new StepBuilder(SMALL).build();
+    StepSpecification lasting = new StepBuilder(SMALL).endless().build();
+    PlacementRequest guaranteed =
+        RequestBuilder.task("g.0.0.0", step).rank(UrgencyRanks.GUARANTEED).build();
+
+    assertThat(plan(fleet, List.of(guaranteed)).placed())
+        .containsExactly(new PlacedUnit("g.0.0.0", List.of("w2")));
+    assertThat(plan(fleet, List.of(task("l.0.0.0", lasting))).placed())
+        .containsExactly(new PlacedUnit("l.0.0.0", List.of("w2")));
+  }
+
   @Test
   void should_make_the_last_attempt_elsewhere_if_proven_workers_could_never_run_it() {
     List<WorkerSnapshot> fleet =
--- a/src/test/java/io/dragonflyturn/internal/policy/PreemptionPlannerTest.java
+++ b/src/test/java/io/dragonflyturn/internal/policy/PreemptionPlannerTest.java
@@ -19,6 +19,8 @@
 class PreemptionPlannerTest {
   private static final Resources WHOLE = WorkerBuilder.CAPACITY;
   private static final Resources HALF = new Resources(16_000, 32_000, 4);
+  private static final Resources PIECE = new Resources(1_000, 1_000, 1);
+  private static final Resources REST = WorkerBuilder.CAPACITY.minus(PIECE);
   private static final StepSpecification ONE = new StepBuilder(WHOLE).gang(1).build();
   private static final StepSpecification TWO = new StepBuilder(WHOLE).gang(2).build();
 
@@ -165,6 +167,78 @@
     assertThat(plan.preempted()).containsOnlyKeys("b.0.0.0", "c.0.0.0");
   }
 
+  /** A customer's guarantee was not reclaimed, since another's small tasks lay on each worker. */
+  @Test
+  void should_move_a_small_run_within_a_guarantee_if_no_worker_can_be_had_whole() {
+    List<WorkerSnapshot> fleet =
+        List.of(
+            worker("w1", run("a.0.0.0", 2, REST, 100), guaranteed("small.0.0.0", 900)),
+            worker("w2", run("b.0.0.0", 2, REST, 100), guaranteed("small.0.0.1", 300)),
+            worker("w3", run("c.0.0.0", 2, REST, 100), guaranteed("small.0.0.2", 600)));
+
+    PlacementPlan plan = plan(fleet, urgent(ONE).rank(UrgencyRanks.GUARANTEED));
+
+    assertThat(plan.waiting()).containsEntry("urgent.0.0", WaitCause.PREEMPTING);
+    assertThat(plan.preempted()).containsOnlyKeys("b.0.0.0", "small.0.0.1");
+  }
+
+  @Test
+  void should_move_no_run_within_a_guarantee_where_a_stop_of_other_work_suffices() {
+    List<WorkerSnapshot> fleet =
+        List.of(
+            worker("w1", run("a.0.0.0", 2, REST, 1), guaranteed("small.0.0.0", 1)),
+            worker("w2", run("b.0.0.0", 2, WHOLE, 100_000)));
+
+    PlacementPlan plan = plan(fleet, urgent(ONE).rank(UrgencyRanks.GUARANTEED));
+
+    assertThat(plan.preempted()).containsOnlyKeys("b.0.0.0");
+  }
+
+  @Test
+  void should_move_no_run_within_a_guarantee_that_fits_nowhere_else() {
+    Allocation onLabel =
+        new Allocation(
+            "small.0.0.0", UrgencyRanks.GUARANTEED, PIECE, false, 1, "c", 60_000, 0, true, "b");
+    List<WorkerSnapshot> fleet =
+        List.of(
+            worker("w1", run("a.0.0.0", 2, REST, 1), onLabel),
+            worker(
+                "w2",
+                guaranteed("other.0.0.0", 1),
+                run("large.0.0.0", UrgencyRanks.GUARANTEED, REST, 1)));
+
+    PlacementPlan plan = plan(fleet, urgent(ONE).rank(UrgencyRanks.GUARANTEED));
+
+    assertThat(plan.preempted()).isEmpty();
+  }
+
+  /** Tasks that last held all accelerators, and a guarantee was never reclaimed from them. */
+  @Test
+  void should_stop_a_run_without_an_end_only_for_what_a_customer_is_guaranteed() {
+    List<WorkerSnapshot> fleet =
+        List.of(worker("w1", run("lasts.0.0.0", UrgencyRanks.NOT_PREEMPTIBLE, WHOLE, 100)));
+
+    assertThat(plan(fleet, urgent(ONE)).preempted()).isEmpty();
+    assertThat(plan(fleet, urgent(ONE).rank(UrgencyRanks.GUARANTEED)).preempted())
+        .containsOnlyKeys("lasts.0.0.0");
+  }
+
+  @Test
+  void should_never_stop_a_run_without_an_end_that_is_within_a_guarantee_itself() {
+    Allocation lasts =
+        new Allocation(
+            "lasts.0.0.0", UrgencyRanks.NOT_PREEMPTIBLE, WHOLE, false, 1, "c", 0, 0, true, "");
+
+    PlacementPlan plan =
+        plan(List.of(worker("w1", lasts)), urgent(ONE).rank(UrgencyRanks.GUARANTEED));
+
+    assertThat(plan.preempted()).isEmpty();
+  }
+
+  private static Allocation guaranteed(String unitKey, long cost) {
+    return run(unitKey, UrgencyRanks.GUARANTEED, PIECE, cost);
+  }
+
   @Test
   void should_displace_another_run_rather_than_one_that_was_displaced_before() {
     List<WorkerSnapshot> fleet =
