Reckon with the lease of the last late order, also once the order can come no more

Where it isn't known whether a worker lives on in a later life, a run with a lost start was given up at the latest arrival of its lost orders, and not a longest lease later. A late start that came at its latest would have run beside the next one.

Cause: LateOrders forgot an order as soon as it could come no more, and the end of the leases is computed from its arrival.

Change: the orders to workers that have a session are not forgotten.

Three cases of LostStartTest look for it at 17 s and failed before.

--- a/src/main/java/io/dragonflyturn/internal/dispatch/LateOrders.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/LateOrders.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Remembers until when orders that were given up may still be carried out, by worker. An order is
@@ -55,8 +56,13 @@
     return nowMillis <= earlierLeadersEndMillis;
   }
 
-  /** Forgets the orders that cannot be carried out any more. */
-  void forgetPast(long nowMillis) {
-    lastArrivalByWorker.values().removeIf(arrivalMillis -> arrivalMillis < nowMillis);
+  /**
+   * Forgets the orders that cannot be carried out any more, but for workers that are known: what
+   * their late orders started may be at work for a longest lease after the arrival.
+   */
+  void forgetPast(long nowMillis, Set<String> knownWorkers) {
+    lastArrivalByWorker
+        .entrySet()
+        .removeIf(each -> each.getValue() < nowMillis && !knownWorkers.contains(each.getKey()));
   }
 }
--- a/src/main/java/io/dragonflyturn/internal/dispatch/WorkerFleet.java
+++ b/src/main/java/io/dragonflyturn/internal/dispatch/WorkerFleet.java
@@ -65,7 +65,7 @@
    */
   void tick() {
     long nowMillis = context.nowMillis();
-    lateOrders.forgetPast(nowMillis);
+    lateOrders.forgetPast(nowMillis, sessions.keySet());
     registryView.observe(nowMillis);
     boolean knowsLives = registryView.isComplete(nowMillis);
     for (WorkerSession session : List.copyOf(sessions.values())) {
--- a/src/test/java/io/dragonflyturn/internal/dispatch/LostStartTest.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/LostStartTest.java
@@ -14,7 +14,13 @@
 class LostStartTest {
   private static final long HEARTBEAT_MILLIS = 1_500;
   private static final long LEASES_ENDED_MILLIS = 10_000;
-  private static final long LATE_ORDERS_ENDED_MILLIS = 22_000;
+
+  /** The latest arrival of a start that was given up, and a part of the lease that it may have. */
+  private static final long LATE_LEASES_LAST_MILLIS = 17_000;
+
+  /** The time for which orders grant leases, the latest arrival of the last, and its lease. */
+  private static final long LATE_ORDERS_ENDED_MILLIS = 4_000 + 12_000 + 7_000;
+
   private static final long LONG_WORK_MILLIS = 60_000;
   private static final String TASK = "a.0.0.0";
 
@@ -107,7 +113,9 @@
   private void expectStartOnlyAfterLateOrders() {
     fixture.advance(LEASES_ENDED_MILLIS);
     assertThat(fixture.workers.runningTasks()).isEmpty();
-    fixture.advance(LATE_ORDERS_ENDED_MILLIS - LEASES_ENDED_MILLIS);
+    fixture.advance(LATE_LEASES_LAST_MILLIS - LEASES_ENDED_MILLIS);
+    assertThat(fixture.workers.runningTasks()).as("the last late start has a lease").isEmpty();
+    fixture.advance(LATE_ORDERS_ENDED_MILLIS - LATE_LEASES_LAST_MILLIS);
     assertThat(fixture.workers.workerOf(TASK)).isEqualTo("w2");
   }
 }
