--- a/src/test/java/io/dragonflyturn/internal/dispatch/RestartOrdersPlay.java
+++ b/src/test/java/io/dragonflyturn/internal/dispatch/RestartOrdersPlay.java
@@ -50,10 +50,6 @@
   private int submitted;
   private boolean healed;
 
-  RestartOrdersPlay(long seed) {
-    this(seed, Mix.RESTARTS);
-  }
-
   RestartOrdersPlay(long seed, Mix mix) {
     this.mix = mix;
     random = new Random(seed);
