Ask cheaply first whether a unit fits on the workers that it prefers

After the time of a preference a queue of units that had failed ranked all workers once for each of them and round. Whether a single task fits takes no ranking.

--- a/src/main/java/io/dragonflyturn/internal/policy/PlaceSearch.java
+++ b/src/main/java/io/dragonflyturn/internal/policy/PlaceSearch.java
@@ -106,7 +106,8 @@
 
   /** Returns whether a unit can be placed on the workers as they are. */
   static boolean fitsNow(PlacementRequest request, List<Candidate> candidates) {
-    return choose(request, candidates, Candidate::free) != null;
+    return fits(request, candidates, Candidate::free)
+        && (request.tasks() == 1 || choose(request, candidates, Candidate::free) != null);
   }
 
   /** Returns whether all tasks of a unit would fit on the workers with the given resources. */
