Remember the workers on which a unit has not failed for each group of workers

Cause: what is left without the workers on which a unit failed was remembered by service, label and these workers, but it now starts from the healthy ones only if the unit fits there. So a narrow unit got what a wide one had found, unhealthy workers included, or the reverse.

Change: it is remembered for the group that it starts from.

The property passes, and the other tests and properties of the package.

--- a/src/main/java/io/dragonflyturn/internal/policy/EligibleWorkers.java
+++ b/src/main/java/io/dragonflyturn/internal/policy/EligibleWorkers.java
@@ -46,7 +46,7 @@
   private final WorkerGroup all;
   private final Set<String> reservedForUrgent;
   private final Map<Scope, WorkerGroup> matchingByScope = new HashMap<>();
-  private final Map<Scope, WorkerGroup> notFailedByScope = new HashMap<>();
+  private final Map<Failures, WorkerGroup> notFailed = new HashMap<>();
 
   /**
    * Creates a search that has found nothing yet.
@@ -79,19 +79,18 @@
   }
 
   private WorkerGroup matching(PlacementRequest request) {
-    Scope scope = new Scope(request.service(), request.step().requiredLabel(), Set.of());
+    Scope scope = new Scope(request.service(), request.step().requiredLabel());
     return matchingByScope.computeIfAbsent(
         scope, key -> all.only(candidate -> candidate.matches(request)));
   }
 
-  private WorkerGroup notFailed(PlacementRequest request, WorkerGroup healthy) {
+  private WorkerGroup notFailed(PlacementRequest request, WorkerGroup workers) {
     if (request.failedWorkers().isEmpty()) {
-      return healthy;
+      return workers;
     }
-    Scope scope =
-        new Scope(request.service(), request.step().requiredLabel(), request.failedWorkers());
-    return notFailedByScope.computeIfAbsent(
-        scope, key -> healthy.only(each -> !request.failedWorkers().contains(each.id())));
+    return notFailed.computeIfAbsent(
+        new Failures(workers, request.failedWorkers()),
+        key -> workers.only(each -> !request.failedWorkers().contains(each.id())));
   }
 
   /**
@@ -113,6 +112,11 @@
     return isWaitOver && !PlaceSearch.fitsNow(request, others.workers()) ? eligible : others;
   }
 
-  /** What determines which workers match a unit, and on which of them it has not failed. */
-  private record Scope(String service, String label, Set<String> failedWorkers) {}
+  /** What determines which workers match a unit. */
+  private record Scope(String service, String label) {}
+
+  /**
+   * Workers of which those are left out on which a unit failed; groups are the same by identity.
+   */
+  private record Failures(WorkerGroup workers, Set<String> failedWorkers) {}
 }
