Ask one method whether a worker serves a unit, and drop one that nothing calls

GuaranteeMoves had written the check of service and label again. What Candidate.copiesWhenEmpty answered is asked of PlaceSearch.fitsWhenEmpty since preferences are bounded.

Tests and properties of policy and dispatch, formatter and linter are green.

--- a/src/main/java/io/dragonflyturn/internal/policy/Candidate.java
+++ b/src/main/java/io/dragonflyturn/internal/policy/Candidate.java
@@ -2,7 +2,6 @@
 
 import io.dragonflyturn.internal.policy.WorkerSnapshot.Allocation;
 import io.dragonflyturn.internal.workload.Resources;
-import io.dragonflyturn.internal.workload.StepSpecification;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -201,9 +200,13 @@
 
   /** Returns whether the worker belongs to the service of a request and has the required label. */
   boolean matches(PlacementRequest request) {
-    StepSpecification step = request.step();
-    return worker.service().equals(request.service())
-        && (step.requiredLabel().isEmpty() || worker.labels().contains(step.requiredLabel()));
+    return matches(request.service(), request.step().requiredLabel());
+  }
+
+  /** Returns whether the worker belongs to a service and has a label; an empty one is no label. */
+  boolean matches(String service, String requiredLabel) {
+    return worker.service().equals(service)
+        && (requiredLabel.isEmpty() || worker.labels().contains(requiredLabel));
   }
 
   /** Returns whether the worker is healthy and the unit has not failed on it. */
@@ -211,13 +214,6 @@
     return worker.healthy() && !request.failedWorkers().contains(id());
   }
 
-  /** Returns how many tasks of a request would fit if nothing ran on the worker. */
-  int copiesWhenEmpty(PlacementRequest request) {
-    int perWorker = request.step().maximumPerWorker();
-    int limit = perWorker > 0 ? Math.min(request.tasks(), perWorker) : request.tasks();
-    return worker.capacity().copiesThatFit(request.step().demand(), limit);
-  }
-
   /**
    * Returns how many tasks of a request fit into the available resources, within the limit per
    * worker.
--- a/src/main/java/io/dragonflyturn/internal/policy/GuaranteeMoves.java
+++ b/src/main/java/io/dragonflyturn/internal/policy/GuaranteeMoves.java
@@ -144,9 +144,7 @@
   }
 
   private static boolean isPossible(Allocation run, Candidate from, Candidate to) {
-    return to.worker().healthy()
-        && to.worker().service().equals(from.worker().service())
-        && (run.requiredLabel().isEmpty() || to.worker().labels().contains(run.requiredLabel()));
+    return to.worker().healthy() && to.matches(from.worker().service(), run.requiredLabel());
   }
 
   private Resources roomBeside(Map<Allocation, Candidate> moves, Candidate to) {
